--- /dev/null
+++ b/cmd/monsoonctl/main.go
@@ -0,0 +1,4 @@
+// Command monsoonctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/monsoonthreadd/main.go
@@ -0,0 +1,4 @@
+// Command monsoonthreadd is the entry instance daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,90 @@
+// Package config defines the generated configuration of a deployment, its digest,
+// the protocol that puts it into the key-value service, and the rule by which an
+// instance adopts a version. Higher versions win; no instance ever goes back.
+package config
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Class is an urgency class of requests. Lower values are more urgent.
+type Class uint8
+
+// The urgency classes.
+const (
+	Urgent Class = iota
+	Normal
+	Bulk
+	NumClasses
+)
+
+// String returns the name used in questionnaires and logs.
+func (c Class) String() string {
+	switch c {
+	case Urgent:
+		return "urgent"
+	case Normal:
+		return "normal"
+	case Bulk:
+		return "bulk"
+	}
+	return "invalid"
+}
+
+// Config is one version of the whole configuration. It is immutable once built.
+type Config struct {
+	Version  uint64    `json:"version"`
+	Domains  []Domain  `json:"domains"`
+	Services []Service `json:"services"`
+}
+
+// Domain is a failure domain with its weight in the placement of flows.
+type Domain struct {
+	Name   string `json:"name"`
+	Weight uint32 `json:"weight"`
+}
+
+// Service is one service behind one address.
+type Service struct {
+	ID              uint32             `json:"id"` // stable over versions, never reused
+	Name            string             `json:"name"`
+	Address         netip.AddrPort     `json:"address"`
+	BackendServers  []BackendServer    `json:"backend_servers"`
+	Routes          []Route            `json:"routes"`
+	MinShares       [NumClasses]uint32 `json:"min_shares_percent"`
+	DefaultDeadline Milliseconds       `json:"default_deadline_ms"`
+	MaxDeadline     Milliseconds       `json:"max_deadline_ms"`
+	MaxRequestBytes int                `json:"max_request_bytes"`
+}
+
+// BackendServer is a host that runs requests of one service.
+type BackendServer struct {
+	Name        string         `json:"name"` // unique in the configuration
+	Domain      string         `json:"domain"`
+	Address     netip.AddrPort `json:"address"`
+	Slots       int            `json:"slots"`
+	Connections int            `json:"connections"`
+	Weight      uint32         `json:"weight"` // relative speed, 100 = reference
+	WarmUp      Milliseconds   `json:"warm_up_ms"`
+	Leaving     bool           `json:"leaving"`
+	// LoadEndpoint is empty when the server has none; its answers are advisory.
+	HealthPath string `json:"health_path"`
+	LoadPath   string `json:"load_path"`
+}
+
+// Route gives the treatment of the requests of one method and path prefix. The
+// longest matching prefix wins.
+type Route struct {
+	Method     string `json:"method"` // GET, POST, PUT, DELETE, FETCH, PATCH, iPATCH or *
+	PathPrefix string `json:"path_prefix"`
+	Class      Class  `json:"class"`
+	Idempotent bool   `json:"idempotent"`
+	Stream     bool   `json:"stream"`
+}
+
+// Milliseconds is a duration that is serialized as a number of milliseconds.
+type Milliseconds int64
+
+// Duration converts to time.Duration.
+func (m Milliseconds) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// Guards against placement that moves keys between members that a change did not touch.
+func TestRemovalMovesOnlyTheRemovedMembersKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "members")
+		members := make([]Member, n)
+		for i := range members {
+			members[i] = NewMember(fmt.Sprint("m", i), uint32(rapid.IntRange(1, 8).Draw(t, "weight")))
+		}
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		rest := append(append([]Member{}, members[:gone]...), members[gone+1:]...)
+		for k := range 200 {
+			key := Key("flow", fmt.Sprint(k))
+			first, second := Top2(key, members)
+			after := rest[Pick(key, rest)].ID
+			if first != gone && members[first].ID != after {
+				t.Fatalf("key %d moved from %s to %s although %s left", k, members[first].ID, after, members[gone].ID)
+			}
+			if first == gone && members[second].ID != after {
+				t.Fatalf("key %d went to %s and not to the runner-up %s", k, after, members[second].ID)
+			}
+		}
+	})
+}
+
+// Guards against shares that do not follow the weights.
+func TestSharesFollowWeights(t *testing.T) {
+	members := []Member{NewMember("a", 1), NewMember("b", 2), NewMember("c", 5), NewMember("d", 0)}
+	const keys = 80000
+	counts := make([]int, len(members))
+	for k := range keys {
+		counts[Pick(Key("k", fmt.Sprint(k)), members)]++
+	}
+	for i, m := range members {
+		want := float64(keys) * float64(m.Weight) / 8
+		if math.Abs(float64(counts[i])-want) > 0.03*keys {
+			t.Errorf("member %s owns %d keys, want about %.0f", m.ID, counts[i], want)
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 19, 70} {
+		members := make([]Member, n)
+		for i := range members {
+			members[i] = NewMember(fmt.Sprint("m", i), 100)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				Pick(uint64(i)*0x9e3779b97f4a7c15, members)
+			}
+		})
+	}
+}
