--- a/config/config.go
+++ b/config/config.go
@@ -34,9 +34,12 @@
 
 // Config is one version of the whole configuration. It is immutable once built.
 type Config struct {
-	Version  uint64    `json:"version"`
-	Domains  []Domain  `json:"domains"`
-	Services []Service `json:"services"`
+	Version uint64 `json:"version"`
+	// NextServiceID is greater than every service ID ever used, so that the ID of a
+	// removed service is not given to another one.
+	NextServiceID uint32    `json:"next_service_id"`
+	Domains       []Domain  `json:"domains"`
+	Services      []Service `json:"services"` // sorted by name
 }
 
 // Domain is a failure domain with its weight in the placement of flows.
@@ -68,7 +71,8 @@
 	Weight      uint32         `json:"weight"` // relative speed, 100 = reference
 	WarmUp      Milliseconds   `json:"warm_up_ms"`
 	Leaving     bool           `json:"leaving"`
-	// LoadEndpoint is empty when the server has none; its answers are advisory.
+	// HealthPath and LoadPath are empty when the server has no such endpoint; the
+	// answers are advisory.
 	HealthPath string `json:"health_path"`
 	LoadPath   string `json:"load_path"`
 }
--- /dev/null
+++ b/config/encode.go
@@ -0,0 +1,252 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	// MaxValueBytes is the size limit of the key-value service for one value. The same
+	// limit holds for an encoded configuration sent between instances.
+	MaxValueBytes = 1 << 20
+	// maxDecodedBytes bounds the memory that a compressed configuration can take when
+	// it is decoded; 12,000 hosts need about 3 MB.
+	maxDecodedBytes = 8 << 20
+
+	documentFormat = 1
+	// digestBytes is the length of a truncated SHA-256; 128 bits exclude accidental
+	// collisions and keep the head at 2,800 services near 150 KB.
+	digestBytes = 16
+)
+
+// document is the form of a configuration between instances. With Base it holds
+// only what changed since that version.
+type document struct {
+	Format        int       `json:"format"`
+	Base          uint64    `json:"base,omitempty"`
+	Version       uint64    `json:"version"`
+	NextServiceID uint32    `json:"next_service_id"`
+	Domains       []Domain  `json:"domains"`
+	Services      []Service `json:"services"`
+	Removed       []string  `json:"removed,omitempty"`
+	Content       string    `json:"content"` // contentDigest of the result
+}
+
+// Encode returns the compressed form that Decode reads. It fails with code 403 if
+// the configuration is not valid and 406 if it is too large.
+func (c *Config) Encode() ([]byte, error) { return encodeSince(nil, c) }
+
+// Decode reads and validates a whole configuration. It fails with code 403, 405 or 406.
+func Decode(b []byte) (*Config, error) { return decodeOnto(nil, b) }
+
+func encodeSince(base, c *Config) ([]byte, error) {
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	doc := document{
+		Format: documentFormat, Version: c.Version, NextServiceID: c.NextServiceID,
+		Domains: c.Domains, Services: c.Services, Content: contentDigest(c),
+	}
+	if base != nil {
+		doc.Base = base.Version
+		doc.Services, doc.Removed = changedServices(base, c)
+	}
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	if err := json.NewEncoder(z).Encode(&doc); err != nil {
+		return nil, result.Errorf(result.ConfigMalformed, "encode configuration: %w", err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, result.Errorf(result.InternalInvariant, "compress configuration: %w", err)
+	}
+	if out.Len() > MaxValueBytes {
+		return nil, result.Errorf(result.ConfigTooLarge, "encoded configuration has %d bytes, more than %d", out.Len(), MaxValueBytes)
+	}
+	return out.Bytes(), nil
+}
+
+func decodeOnto(base *Config, b []byte) (*Config, error) {
+	doc, err := readDocument(b)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Version: doc.Version, NextServiceID: doc.NextServiceID, Domains: doc.Domains, Services: doc.Services}
+	if doc.Base != 0 {
+		if base == nil || base.Version != doc.Base {
+			return nil, result.Errorf(result.ConfigStale, "configuration is a change of version %d, which is not in force here", doc.Base)
+		}
+		c.Services = mergeServices(base, doc.Services, doc.Removed)
+	}
+	if c.Version == 0 {
+		return nil, result.Errorf(result.ConfigMalformed, "configuration has no version")
+	}
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	if got := contentDigest(c); got != doc.Content {
+		return nil, result.Errorf(result.DigestMismatch, "configuration %d has content digest %s, expected %q", c.Version, got, doc.Content)
+	}
+	return c, nil
+}
+
+func readDocument(b []byte) (*document, error) {
+	if len(b) > MaxValueBytes {
+		return nil, result.Errorf(result.ConfigTooLarge, "encoded configuration has %d bytes, more than %d", len(b), MaxValueBytes)
+	}
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, result.Errorf(result.ConfigMalformed, "decompress configuration: %w", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(z, maxDecodedBytes+1))
+	if err != nil {
+		return nil, result.Errorf(result.ConfigMalformed, "decompress configuration: %w", err)
+	}
+	if len(plain) > maxDecodedBytes {
+		return nil, result.Errorf(result.ConfigTooLarge, "configuration has more than %d bytes", maxDecodedBytes)
+	}
+	var doc document
+	if err := strictUnmarshal(plain, &doc); err != nil {
+		return nil, result.Errorf(result.ConfigMalformed, "decode configuration: %w", err)
+	}
+	if doc.Format != documentFormat {
+		return nil, result.Errorf(result.ConfigMalformed, "configuration format %d is unknown", doc.Format)
+	}
+	return &doc, nil
+}
+
+// strictUnmarshal rejects unknown fields and trailing data: a value that this
+// version only partly understands must not come into force in part.
+func strictUnmarshal(b []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the value")
+	}
+	return nil
+}
+
+// Digest identifies the content of a service.
+func Digest(s *Service) string { return digestOf(encodeService(s)) }
+
+// encodeService returns the form that is stored under the digest. Nil and empty
+// lists have one form, so that a service has one digest.
+func encodeService(s *Service) []byte {
+	n := *s
+	if n.BackendServers == nil {
+		n.BackendServers = []BackendServer{}
+	}
+	if n.Routes == nil {
+		n.Routes = []Route{}
+	}
+	b, err := json.Marshal(&n)
+	if err != nil { // every field type marshals without error
+		panic(fmt.Sprintf("encode service %q: %v", s.Name, err))
+	}
+	return b
+}
+
+func digestOf(value []byte) string {
+	sum := sha256.Sum256(value)
+	return hex.EncodeToString(sum[:digestBytes])
+}
+
+// decodeService reads the value that was stored under digest.
+func decodeService(digest string, value []byte) (*Service, error) {
+	if len(value) > MaxValueBytes {
+		return nil, result.Errorf(result.ConfigTooLarge, "service value has %d bytes, more than %d", len(value), MaxValueBytes)
+	}
+	if got := digestOf(value); got != digest {
+		return nil, result.Errorf(result.DigestMismatch, "service value has digest %s, expected %s", got, digest)
+	}
+	var s Service
+	if err := strictUnmarshal(value, &s); err != nil {
+		return nil, result.Errorf(result.ConfigMalformed, "decode service value %s: %w", digest, err)
+	}
+	// Peers compare digests of decoded services, so the value must be in the form
+	// that encodeService writes.
+	if Digest(&s) != digest {
+		return nil, result.Errorf(result.ConfigMalformed, "service value %s is not in canonical form", digest)
+	}
+	return &s, nil
+}
+
+// contentDigest identifies the content of a configuration apart from its version.
+func contentDigest(c *Config) string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d\n", c.NextServiceID)
+	for _, d := range c.Domains {
+		fmt.Fprintf(h, "%q %d\n", d.Name, d.Weight)
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		fmt.Fprintf(h, "%q %s\n", s.Name, Digest(s))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
+// changedServices returns the services of n that are not in base in the same form,
+// and the names of those that n no longer has.
+func changedServices(base, n *Config) (changed []Service, removed []string) {
+	old := make(map[string]*Service, len(base.Services))
+	for i := range base.Services {
+		old[base.Services[i].Name] = &base.Services[i]
+	}
+	for i := range n.Services {
+		s := &n.Services[i]
+		if o, ok := old[s.Name]; !ok || !sameService(o, s) {
+			changed = append(changed, *s)
+		}
+		delete(old, s.Name)
+	}
+	for name := range old {
+		removed = append(removed, name)
+	}
+	slices.Sort(removed)
+	return changed, removed
+}
+
+// mergeServices replaces and removes services of base; unchanged ones are shared.
+func mergeServices(base *Config, changed []Service, removed []string) []Service {
+	replaced := make(map[string]bool, len(changed)+len(removed))
+	for i := range changed {
+		replaced[changed[i].Name] = true
+	}
+	for _, name := range removed {
+		replaced[name] = true
+	}
+	merged := slices.Clone(changed)
+	for i := range base.Services {
+		if !replaced[base.Services[i].Name] {
+			merged = append(merged, base.Services[i])
+		}
+	}
+	slices.SortFunc(merged, byName)
+	return merged
+}
+
+func sameService(a, b *Service) bool {
+	return a.ID == b.ID && a.Name == b.Name && a.Address == b.Address && a.MinShares == b.MinShares &&
+		a.DefaultDeadline == b.DefaultDeadline && a.MaxDeadline == b.MaxDeadline && a.MaxRequestBytes == b.MaxRequestBytes &&
+		sameSlice(a.BackendServers, b.BackendServers) && sameSlice(a.Routes, b.Routes)
+}
+
+// sameSlice compares the backing arrays first, because consecutive versions share
+// the slices of unchanged services.
+func sameSlice[T comparable](a, b []T) bool {
+	if len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0]) {
+		return true
+	}
+	return slices.Equal(a, b)
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,214 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// Limits of a configuration. The questionnaire reports them as allowed values.
+const (
+	MaxNameBytes    = 63
+	MaxPathBytes    = 255
+	MaxWeight       = 10_000
+	MaxSlots        = 1024
+	MaxConnections  = 1_000_000
+	MaxRequestLimit = 60_000 // bytes; one UDP datagram with headers
+
+	MaxWarmUp   = Milliseconds(3_600_000)
+	MaxDeadline = Milliseconds(3_600_000)
+
+	// maxProblems bounds the text of a validation error.
+	maxProblems = 10
+)
+
+// Methods lists the allowed values of Route.Method.
+var Methods = []string{"GET", "POST", "PUT", "DELETE", "FETCH", "PATCH", "iPATCH", "*"}
+
+// ValidName reports whether s may name a service, a backend server or a failure
+// domain: lower-case letters, digits, dots and hyphens, beginning and ending with a
+// letter or digit.
+func ValidName(s string) bool {
+	if len(s) == 0 || len(s) > MaxNameBytes {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		alnum := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !alnum && (c != '-' && c != '.' || i == 0 || i == len(s)-1) {
+			return false
+		}
+	}
+	return true
+}
+
+// ValidAddress reports whether a can be a unicast destination.
+func ValidAddress(a netip.AddrPort) bool {
+	ip := a.Addr()
+	return a.IsValid() && a.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
+// ValidPath reports whether p is an absolute path without spaces or control characters.
+func ValidPath(p string) bool {
+	if !strings.HasPrefix(p, "/") || len(p) > MaxPathBytes {
+		return false
+	}
+	for i := range len(p) {
+		if p[i] <= ' ' || p[i] >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// problems collects what is wrong with a configuration.
+type problems struct {
+	list    []string
+	dropped int
+}
+
+func (p *problems) addf(format string, args ...any) {
+	if len(p.list) == maxProblems {
+		p.dropped++
+		return
+	}
+	p.list = append(p.list, fmt.Sprintf(format, args...))
+}
+
+func (p *problems) require(ok bool, format string, args ...any) {
+	if !ok {
+		p.addf(format, args...)
+	}
+}
+
+func (p *problems) err(code result.Code) error {
+	if len(p.list) == 0 {
+		return nil
+	}
+	text := strings.Join(p.list, "; ")
+	if p.dropped > 0 {
+		text += fmt.Sprintf("; and %d more", p.dropped)
+	}
+	return result.Errorf(code, "invalid configuration: %s", text)
+}
+
+// Validate checks the whole configuration and names everything that is wrong with
+// it (code 403).
+func (c *Config) Validate() error {
+	var p problems
+	domains := validateDomains(&p, c.Domains)
+	v := validator{
+		problems: &p, domains: domains, next: c.NextServiceID,
+		ids: map[uint32]string{}, names: map[string]bool{},
+		servers: map[string]string{}, addresses: map[netip.AddrPort]string{},
+	}
+	for i := range c.Services {
+		v.service(&c.Services[i])
+	}
+	p.require(slices.IsSortedFunc(c.Services, byName), "services are not sorted by name")
+	return p.err(result.ConfigMalformed)
+}
+
+func byName(a, b Service) int { return strings.Compare(a.Name, b.Name) }
+
+func validateDomains(p *problems, domains []Domain) map[string]bool {
+	names := make(map[string]bool, len(domains))
+	total := 0
+	for _, d := range domains {
+		p.require(ValidName(d.Name), "failure domain name %q is not valid", d.Name)
+		p.require(!names[d.Name], "failure domain %q appears twice", d.Name)
+		p.require(d.Weight <= MaxWeight, "weight %d of failure domain %q is above %d", d.Weight, d.Name, MaxWeight)
+		names[d.Name] = true
+		total += int(d.Weight)
+	}
+	p.require(total > 0, "no failure domain has weight")
+	return names
+}
+
+// validator checks services one by one and remembers what must be unique.
+type validator struct {
+	*problems
+	domains   map[string]bool
+	next      uint32
+	ids       map[uint32]string
+	names     map[string]bool
+	servers   map[string]string // backend server name to service
+	addresses map[netip.AddrPort]string
+}
+
+func (v *validator) service(s *Service) {
+	v.require(ValidName(s.Name), "service name %q is not valid", s.Name)
+	v.require(!v.names[s.Name], "service %q appears twice", s.Name)
+	v.names[s.Name] = true
+	v.require(s.ID > 0 && s.ID < v.next, "service %q has ID %d, outside 1 to %d", s.Name, s.ID, int64(v.next)-1)
+	if other, ok := v.ids[s.ID]; ok {
+		v.addf("services %q and %q both have ID %d", other, s.Name, s.ID)
+	}
+	v.ids[s.ID] = s.Name
+	v.address(s.Address, s.Name)
+
+	shares := uint64(0)
+	for _, share := range s.MinShares {
+		shares += uint64(share)
+	}
+	v.require(shares <= 100, "minimum shares of service %q add up to %d%%", s.Name, shares)
+	v.require(s.DefaultDeadline > 0 && s.DefaultDeadline <= s.MaxDeadline && s.MaxDeadline <= MaxDeadline,
+		"deadlines of service %q are %d and %d ms; need 0 < default <= max <= %d",
+		s.Name, s.DefaultDeadline, s.MaxDeadline, MaxDeadline)
+	v.require(s.MaxRequestBytes > 0 && s.MaxRequestBytes <= MaxRequestLimit,
+		"max_request_bytes of service %q is %d, outside 1 to %d", s.Name, s.MaxRequestBytes, MaxRequestLimit)
+	v.routes(s)
+	for i := range s.BackendServers {
+		v.server(s.Name, &s.BackendServers[i])
+	}
+}
+
+func (v *validator) address(a netip.AddrPort, owner string) {
+	if !ValidAddress(a) {
+		v.addf("address %q of %q is not a unicast address with a port", a, owner)
+		return
+	}
+	if other, ok := v.addresses[a]; ok {
+		v.addf("%q and %q share the address %s", other, owner, a)
+	}
+	v.addresses[a] = owner
+}
+
+func (v *validator) routes(s *Service) {
+	type key struct{ method, prefix string }
+	seen := make(map[key]bool, len(s.Routes))
+	for _, r := range s.Routes {
+		v.require(slices.Contains(Methods, r.Method), "method %q of service %q is unknown", r.Method, s.Name)
+		v.require(ValidPath(r.PathPrefix), "path prefix %q of service %q is not valid", r.PathPrefix, s.Name)
+		v.require(r.Class < NumClasses, "class %d of service %q is unknown", r.Class, s.Name)
+		v.require(!r.Stream || StreamMethod(r.Method), "service %q: %s %s cannot be a stream", s.Name, r.Method, r.PathPrefix)
+		v.require(!r.Stream || r.Idempotent, "service %q: stream %s %s must be idempotent", s.Name, r.Method, r.PathPrefix)
+		k := key{r.Method, r.PathPrefix}
+		v.require(!seen[k], "service %q has the route %s %s twice", s.Name, r.Method, r.PathPrefix)
+		seen[k] = true
+	}
+}
+
+// StreamMethod reports whether requests with this method can carry Observe (RFC
+// 7641 and RFC 8132: GET and FETCH).
+func StreamMethod(method string) bool { return method == "GET" || method == "FETCH" }
+
+func (v *validator) server(service string, b *BackendServer) {
+	v.require(ValidName(b.Name), "backend server name %q of service %q is not valid", b.Name, service)
+	if other, ok := v.servers[b.Name]; ok {
+		v.addf("backend server %q appears in %q and %q", b.Name, other, service)
+	}
+	v.servers[b.Name] = service
+	v.require(v.domains[b.Domain], "backend server %q is in unknown failure domain %q", b.Name, b.Domain)
+	v.address(b.Address, b.Name)
+	v.require(b.Slots > 0 && b.Slots <= MaxSlots, "slots of %q is %d, outside 1 to %d", b.Name, b.Slots, MaxSlots)
+	v.require(b.Connections > 0 && b.Connections <= MaxConnections,
+		"connections of %q is %d, outside 1 to %d", b.Name, b.Connections, MaxConnections)
+	v.require(b.Weight > 0 && b.Weight <= MaxWeight, "weight of %q is %d, outside 1 to %d", b.Name, b.Weight, MaxWeight)
+	v.require(b.WarmUp >= 0 && b.WarmUp <= MaxWarmUp, "warm_up_ms of %q is %d, outside 0 to %d", b.Name, b.WarmUp, MaxWarmUp)
+	v.require(b.HealthPath == "" || ValidPath(b.HealthPath), "health path %q of %q is not valid", b.HealthPath, b.Name)
+	v.require(b.LoadPath == "" || ValidPath(b.LoadPath), "load path %q of %q is not valid", b.LoadPath, b.Name)
+}
--- /dev/null
+++ b/questionnaire/parse.go
@@ -0,0 +1,237 @@
+package questionnaire
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"io"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/monsoonthread/monsoonthread/config"
+)
+
+// Defaults of optional fields.
+const (
+	DefaultSlots           = 2
+	DefaultConnections     = 2000
+	DefaultMaxRequestBytes = 1152 // message size that RFC 7252 (4.6) assumes every path carries
+	DefaultHealthPath      = "/health"
+	DefaultLoadPath        = "/load"
+	DefaultDomainWeight    = 100
+
+	// referenceWeight is the weight of a server of relative speed 1.
+	referenceWeight = 100
+	// none stands for a host without a health or load path.
+	none = "none"
+	// maxInputBytes is several times the questionnaire of 12,000 hosts.
+	maxInputBytes = 16 << 20
+)
+
+var urgencies = []string{config.Urgent.String(), config.Normal.String(), config.Bulk.String()}
+
+// Parse reads a questionnaire. The error is *Errors and names every mistake.
+func Parse(b []byte) (*Answers, error) {
+	r := &reader{}
+	a := r.answers(b)
+	if len(r.errors) > 0 {
+		slices.SortStableFunc(r.errors, func(a, b FieldError) int { return cmp.Compare(a.Line, b.Line) })
+		return nil, &Errors{List: r.errors}
+	}
+	return a, nil
+}
+
+var yamlLine = regexp.MustCompile(`line (\d+): `)
+
+func (r *reader) answers(b []byte) *Answers {
+	if len(b) > maxInputBytes {
+		r.addf(1, "questionnaire", "", "it has %d bytes, more than %d", len(b), maxInputBytes)
+		return nil
+	}
+	var doc yaml.Node
+	decoder := yaml.NewDecoder(bytes.NewReader(b))
+	if err := decoder.Decode(&doc); err != nil {
+		if errors.Is(err, io.EOF) {
+			r.addf(1, "questionnaire", "", "it is empty")
+			return nil
+		}
+		line, text := 1, strings.TrimPrefix(err.Error(), "yaml: ")
+		if m := yamlLine.FindStringSubmatch(text); m != nil {
+			line, _ = strconv.Atoi(m[1])
+			text = strings.Replace(text, m[0], "", 1)
+		}
+		r.addf(line, "questionnaire", "", "it is not YAML: %s", text)
+		return nil
+	}
+	if len(doc.Content) != 1 {
+		r.addf(1, "questionnaire", "", "it is empty")
+		return nil
+	}
+	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		r.addf(doc.Content[0].Line, "questionnaire", "one YAML document", "more follows after the document")
+	}
+	return r.root(doc.Content[0])
+}
+
+func (r *reader) root(n *yaml.Node) *Answers {
+	o := r.object("", n, "deployment", "failure_domains", "services")
+	a := &Answers{Deployment: o.name("deployment")}
+	c := &checker{reader: r, domains: uniqueNames{}, services: uniqueNames{}, hosts: uniqueNames{}, addresses: map[netip.AddrPort]place{}}
+	for i, n := range o.list("failure_domains", "list of failure domains") {
+		d := r.object(o.element("failure_domains", i), n, "name", "weight")
+		domain := config.Domain{Name: d.name("name"), Weight: uint32(d.integer("weight", DefaultDomainWeight, 0, config.MaxWeight, false))}
+		c.domains.add(d, domain.Name)
+		a.Domains = append(a.Domains, domain)
+	}
+	noWeight := func(d config.Domain) bool { return d.Weight > 0 }
+	if len(a.Domains) > 0 && !slices.ContainsFunc(a.Domains, noWeight) {
+		o.invalid("failure_domains", "at least one weight above 0", "no failure domain has weight")
+	}
+	for i, n := range o.list("services", "list of services") {
+		a.Services = append(a.Services, c.service(o.element("services", i), n))
+	}
+	return a
+}
+
+// place is where a value was first given.
+type place struct {
+	field string
+	line  int
+}
+
+// uniqueNames holds the names given so far.
+type uniqueNames map[string]place
+
+// add reports a name that was given before.
+func (u uniqueNames) add(o *object, name string) {
+	if name == "" {
+		return
+	}
+	if first, ok := u[name]; ok {
+		o.invalid("name", "a name that is not in use", "%q is already the name of %s on line %d", name, first.field, first.line)
+		return
+	}
+	u[name] = place{o.path, o.lineOf("name")}
+}
+
+// checker reads services and checks what must be unique over all of them.
+type checker struct {
+	*reader
+	domains, services, hosts uniqueNames
+	addresses                map[netip.AddrPort]place
+}
+
+func (c *checker) unusedAddress(o *object) netip.AddrPort {
+	a := o.address("address")
+	if !a.IsValid() {
+		return a
+	}
+	if first, ok := c.addresses[a]; ok {
+		o.invalid("address", "an address that is not in use", "%s is already the address of %s on line %d", a, first.field, first.line)
+		return a
+	}
+	c.addresses[a] = place{o.path, o.lineOf("address")}
+	return a
+}
+
+func (c *checker) service(path string, n *yaml.Node) config.Service {
+	o := c.object(path, n, "name", "address", "default_deadline", "max_deadline", "max_request_bytes", "min_shares", "requests", "hosts")
+	s := config.Service{
+		Name:            o.name("name"),
+		Address:         c.unusedAddress(o),
+		DefaultDeadline: o.duration("default_deadline", 0, 1, config.MaxDeadline, true),
+		MaxDeadline:     o.duration("max_deadline", 0, 1, config.MaxDeadline, true),
+		MaxRequestBytes: o.integer("max_request_bytes", DefaultMaxRequestBytes, 1, config.MaxRequestLimit, false),
+	}
+	c.services.add(o, s.Name)
+	if s.MaxDeadline > 0 && s.DefaultDeadline > s.MaxDeadline {
+		o.invalid("default_deadline", "at most max_deadline", "%s is above max_deadline %s", formatDuration(s.DefaultDeadline), formatDuration(s.MaxDeadline))
+	}
+	c.shares(o, &s)
+	c.requests(o, &s)
+	for i, n := range o.list("hosts", "list of hosts") {
+		s.BackendServers = append(s.BackendServers, c.host(o.element("hosts", i), n))
+	}
+	return s
+}
+
+func (c *checker) shares(o *object, s *config.Service) {
+	n := o.values["min_shares"]
+	if n == nil {
+		return
+	}
+	shares := c.object(o.field("min_shares"), n, urgencies...)
+	total := 0
+	for class, name := range urgencies {
+		share := shares.integer(name, 0, 0, 100, false)
+		s.MinShares[class] = uint32(share)
+		total += share
+	}
+	if total > 100 {
+		o.invalid("min_shares", "a sum of at most 100", "shares add up to %d percent", total)
+	}
+}
+
+func (c *checker) requests(o *object, s *config.Service) {
+	type kind struct{ method, path string }
+	seen := make(map[kind]int)
+	for i, n := range o.list("requests", "list of request kinds") {
+		q := c.object(o.element("requests", i), n, "method", "path", "urgency", "idempotent", "stream")
+		r := config.Route{
+			Method:     q.choice("method", config.Methods),
+			PathPrefix: q.pathValue("path", "", true),
+			Class:      config.Class(max(0, slices.Index(urgencies, q.choice("urgency", urgencies)))),
+			Idempotent: q.boolean("idempotent", true),
+			Stream:     q.boolean("stream", false),
+		}
+		if r.Stream && r.Method != "" && !config.StreamMethod(r.Method) {
+			q.invalid("stream", "true only with method GET or FETCH", "method %s cannot be a stream", r.Method)
+		}
+		if r.Stream && q.values["idempotent"] != nil && !r.Idempotent {
+			q.invalid("idempotent", "true for a stream", "a stream registration must be idempotent")
+		}
+		k := kind{r.Method, r.PathPrefix}
+		if first, ok := seen[k]; ok && r.Method != "" && r.PathPrefix != "" {
+			q.invalid("path", "one entry for each method and path", "%s %s already appears on line %d", r.Method, r.PathPrefix, first)
+		} else {
+			seen[k] = q.line
+		}
+		s.Routes = append(s.Routes, r)
+	}
+}
+
+func (c *checker) host(path string, n *yaml.Node) config.BackendServer {
+	o := c.object(path, n, "name", "failure_domain", "address", "slots", "connections", "relative_speed",
+		"warm_up", "health_path", "load_path", "leaving")
+	b := config.BackendServer{
+		Name:        o.name("name"),
+		Domain:      c.domain(o),
+		Address:     c.unusedAddress(o),
+		Slots:       o.integer("slots", DefaultSlots, 1, config.MaxSlots, false),
+		Connections: o.integer("connections", DefaultConnections, 1, config.MaxConnections, false),
+		Weight:      o.speed("relative_speed"),
+		WarmUp:      o.duration("warm_up", 0, 0, config.MaxWarmUp, false),
+		HealthPath:  o.pathValue("health_path", DefaultHealthPath, false),
+		LoadPath:    o.pathValue("load_path", DefaultLoadPath, false),
+		Leaving:     o.boolean("leaving", false),
+	}
+	c.hosts.add(o, b.Name)
+	return b
+}
+
+func (c *checker) domain(o *object) string {
+	names := make([]string, 0, len(c.domains))
+	for name := range c.domains {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		names = []string{"a name listed in failure_domains"}
+	}
+	return o.choice("failure_domain", names)
+}
--- /dev/null
+++ b/questionnaire/questionnaire_test.go
@@ -0,0 +1,134 @@
+package questionnaire
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonthread/monsoonthread/config"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// Guards against templates that the tool itself does not accept, and against a
+// template of the wrong size.
+func TestTemplatesGenerateConfigurations(t *testing.T) {
+	for _, name := range Templates {
+		a, err := Parse(Template(name))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		c, err := Generate(a, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		sizes := []int{len(a.Services[0].BackendServers), len(a.Services[1].BackendServers)}
+		if diff := cmp.Diff([]int{15, 4}, sizes); diff != "" {
+			t.Fatalf("%s: host counts: %s", name, diff)
+		}
+		b, err := c.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := config.Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if changes := config.Diff(c, back); len(changes) > 0 {
+			t.Fatalf("%s: decoding changed %v", name, changes)
+		}
+		t.Logf("%s: %d bytes", name, len(b))
+	}
+}
+
+// drawAnswers draws a questionnaire without mistakes.
+func drawAnswers(t *rapid.T) *Answers {
+	a := &Answers{Deployment: "d"}
+	for i := range rapid.IntRange(1, 4).Draw(t, "domains") {
+		a.Domains = append(a.Domains, config.Domain{Name: fmt.Sprint("domain", i), Weight: uint32(rapid.IntRange(1, 300).Draw(t, "weight"))})
+	}
+	port := uint16(0)
+	address := func() netip.AddrPort {
+		port++
+		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	}
+	milliseconds := rapid.Map(rapid.Int64Range(1, int64(config.MaxWarmUp)), func(m int64) config.Milliseconds { return config.Milliseconds(m) })
+	path := rapid.SampledFrom([]string{"", "/health", "/a/b"})
+	for i := range rapid.IntRange(1, 4).Draw(t, "services") {
+		s := config.Service{Name: fmt.Sprint("service", i), Address: address(), MaxRequestBytes: rapid.IntRange(1, 2000).Draw(t, "bytes")}
+		s.DefaultDeadline = milliseconds.Draw(t, "default")
+		s.MaxDeadline = max(s.DefaultDeadline, milliseconds.Draw(t, "max"))
+		for j := range rapid.IntRange(1, 3).Draw(t, "requests") {
+			s.Routes = append(s.Routes, config.Route{
+				Method: "GET", PathPrefix: fmt.Sprint("/p", j), Class: config.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+				Idempotent: true, Stream: rapid.Bool().Draw(t, "stream"),
+			})
+		}
+		for j := range rapid.IntRange(1, 5).Draw(t, "hosts") {
+			s.BackendServers = append(s.BackendServers, config.BackendServer{
+				Name: fmt.Sprintf("host%d-%d", i, j), Domain: a.Domains[j%len(a.Domains)].Name, Address: address(),
+				Slots: rapid.IntRange(1, 10).Draw(t, "slots"), Connections: rapid.IntRange(1, 5000).Draw(t, "connections"),
+				Weight: uint32(rapid.IntRange(1, config.MaxWeight).Draw(t, "speed")), WarmUp: milliseconds.Draw(t, "warm-up"),
+				HealthPath: path.Draw(t, "health"), LoadPath: path.Draw(t, "load"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			})
+		}
+		a.Services = append(a.Services, s)
+	}
+	return a
+}
+
+// Guards against answers that change when they are written and read again, for
+// example a speed of 0.29 that becomes 28%.
+func TestFormatParseRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := drawAnswers(t)
+		b, err := Format(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := Parse(b)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, b)
+		}
+		if diff := cmp.Diff(a, back, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Guards against service IDs that move to another service when services are added,
+// removed or reordered: packets of a flow would reach another service.
+func TestServiceIDsAreStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		owner := map[uint32]string{}
+		removed := map[uint32]bool{}
+		var previous *config.Config
+		for range 6 {
+			a := drawAnswers(t)
+			a.Services = rapid.Permutation(a.Services).Draw(t, "order")
+			c, err := Generate(a, previous)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := map[uint32]bool{}
+			for _, s := range c.Services {
+				if o, ok := owner[s.ID]; ok && (o != s.Name || removed[s.ID]) {
+					t.Fatalf("ID %d of %s was given to %s", s.ID, o, s.Name)
+				}
+				owner[s.ID], now[s.ID] = s.Name, true
+			}
+			for id := range owner {
+				removed[id] = removed[id] || !now[id]
+			}
+			previous = c
+		}
+	})
+}
