--- a/config/accept.go
+++ b/config/accept.go
@@ -91,6 +91,9 @@
 	}
 	for i := range n.Services {
 		value := encodeService(&n.Services[i])
+		if len(value) > MaxValueBytes {
+			return 0, result.Errorf(result.ConfigTooLarge, "service %q has %d bytes, more than %d", n.Services[i].Name, len(value), MaxValueBytes)
+		}
 		digest := digestOf(value)
 		c.values[digest] = value
 		c.digests[n.Services[i].Name] = digest
