--- /dev/null
+++ b/edge/message.go
@@ -0,0 +1,257 @@
+// Package edge is the codec towards callers, backend servers and the fabric: CoAP
+// messages (RFC 7252) and PROXY protocol v2 headers. No other package of the
+// daemon uses CoAP types, so the decision packages stay independent of the protocol.
+package edge
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// MaxMessageBytes is the largest CoAP message: a 1,024-byte block (RFC 7959) plus
+// options, within an Ethernet MTU of 1,500 bytes.
+const MaxMessageBytes = 1400
+
+// deadlineOption is the elective option, from the experimental range, that carries
+// the time left for a request in milliseconds.
+const deadlineOption message.OptionID = 65002
+
+// maxOptions bounds the options of one message, so that a datagram cannot make the
+// decoder grow without limit.
+const maxOptions = 32
+
+// Type is the CoAP message type.
+type Type uint8
+
+// The message types of RFC 7252, section 3.
+const (
+	Confirmable     = Type(message.Confirmable)
+	NonConfirmable  = Type(message.NonConfirmable)
+	Acknowledgement = Type(message.Acknowledgement)
+	Reset           = Type(message.Reset)
+)
+
+// Code is a CoAP code: class in the upper three bits, detail in the lower five.
+type Code uint8
+
+// The codes that the daemon sends or tests for.
+const (
+	Empty                   = Code(codes.Empty)
+	GET                     = Code(codes.GET)
+	POST                    = Code(codes.POST)
+	PUT                     = Code(codes.PUT)
+	DELETE                  = Code(codes.DELETE)
+	FETCH              Code = 5
+	PATCH              Code = 6
+	IPATCH             Code = 7
+	Content                 = Code(codes.Content)
+	BadRequest              = Code(codes.BadRequest)
+	Unauthorized            = Code(codes.Unauthorized)
+	BadOption               = Code(codes.BadOption)
+	NotFound                = Code(codes.NotFound)
+	ServiceUnavailable      = Code(codes.ServiceUnavailable)
+	GatewayTimeout          = Code(codes.GatewayTimeout)
+)
+
+var methodNames = [...]string{GET: "GET", POST: "POST", PUT: "PUT", DELETE: "DELETE",
+	FETCH: "FETCH", PATCH: "PATCH", IPATCH: "iPATCH"}
+
+// IsRequest reports whether the code is a method.
+func (c Code) IsRequest() bool { return c >= GET && c <= IPATCH }
+
+// IsResponse reports whether the code is a response code.
+func (c Code) IsResponse() bool { return c>>5 >= 2 && c>>5 <= 5 }
+
+// IsSuccess reports whether the code is of class 2.
+func (c Code) IsSuccess() bool { return c>>5 == 2 }
+
+// Method returns the method's name, or "" for a code that is no method.
+func (c Code) Method() string {
+	if !c.IsRequest() {
+		return ""
+	}
+	return methodNames[c]
+}
+
+func (c Code) String() string { return fmt.Sprintf("%d.%02d", c>>5, c&0x1f) }
+
+// Message is a decoded CoAP message.
+type Message struct {
+	Type    Type
+	Code    Code
+	ID      uint16
+	Token   []byte
+	Payload []byte
+	options message.Options
+}
+
+// Decode parses one datagram. The message refers to the bytes of datagram.
+func Decode(datagram []byte) (*Message, error) {
+	if len(datagram) > MaxMessageBytes {
+		return nil, result.Errorf(result.OversizedDatagram, "CoAP message has %d bytes, at most %d are accepted", len(datagram), MaxMessageBytes)
+	}
+	m := message.Message{Options: make(message.Options, 0, maxOptions)}
+	if _, err := coder.DefaultCoder.Decode(datagram, &m); err != nil {
+		return nil, result.Errorf(result.MalformedDatagram, "CoAP message: %w", err)
+	}
+	code := Code(m.Code)
+	if code != Empty && !code.IsRequest() && !code.IsResponse() {
+		return nil, result.Errorf(result.UnsupportedMethod, "CoAP code %s is reserved", code)
+	}
+	if code == Empty && (len(m.Token) > 0 || len(m.Options) > 0 || len(m.Payload) > 0) {
+		return nil, result.Errorf(result.MalformedDatagram, "empty CoAP message carries data")
+	}
+	return &Message{Type: Type(m.Type), Code: code, ID: uint16(m.MessageID), Token: m.Token,
+		Payload: m.Payload, options: m.Options}, nil
+}
+
+// Encode serializes the message into a new slice.
+func (m *Message) Encode() ([]byte, error) {
+	raw := message.Message{Type: message.Type(m.Type), Code: codes.Code(m.Code), MessageID: int32(m.ID),
+		Token: m.Token, Options: m.options, Payload: m.Payload}
+	size, err := coder.DefaultCoder.Size(raw)
+	if err != nil {
+		return nil, result.Errorf(result.MalformedDatagram, "CoAP message: %w", err)
+	}
+	b := make([]byte, size)
+	n, err := coder.DefaultCoder.Encode(raw, b)
+	if err != nil {
+		return nil, result.Errorf(result.MalformedDatagram, "CoAP message: %w", err)
+	}
+	return b[:n], nil
+}
+
+// Clone returns a copy that shares no memory with the datagram it was decoded from.
+func (m *Message) Clone() *Message {
+	c := &Message{Type: m.Type, Code: m.Code, ID: m.ID, Token: bytes.Clone(m.Token),
+		Payload: bytes.Clone(m.Payload), options: make(message.Options, len(m.options))}
+	for i, o := range m.options {
+		c.options[i] = message.Option{ID: o.ID, Value: bytes.Clone(o.Value)}
+	}
+	return c
+}
+
+// Path returns the request path with a leading slash.
+func (m *Message) Path() string {
+	p, err := m.options.Path()
+	if err != nil || p == "" {
+		return "/"
+	}
+	if p[0] != '/' {
+		return "/" + p
+	}
+	return p
+}
+
+// SetPath replaces the request path.
+func (m *Message) SetPath(path string) error {
+	opts, _, err := m.options.SetPath(make([]byte, len(path)+1), path)
+	if err != nil {
+		return fmt.Errorf("path %q: %w", path, err)
+	}
+	m.options = opts
+	return nil
+}
+
+// Observe returns the Observe option.
+func (m *Message) Observe() (uint32, bool) { return m.uintOption(message.Observe) }
+
+// SetObserve sets the Observe option.
+func (m *Message) SetObserve(v uint32) { m.setUint(message.Observe, v) }
+
+// RemoveObserve removes the Observe option.
+func (m *Message) RemoveObserve() { m.options = m.options.Remove(message.Observe) }
+
+// Block2 returns the block number of the Block2 option (RFC 7959).
+func (m *Message) Block2() (number uint32, ok bool) {
+	v, ok := m.uintOption(message.Block2)
+	return v >> 4, ok
+}
+
+// Deadline returns the time left for the request in milliseconds.
+func (m *Message) Deadline() (uint32, bool) { return m.uintOption(deadlineOption) }
+
+// SetDeadline sets the time left for the request in milliseconds.
+func (m *Message) SetDeadline(ms uint32) { m.setUint(deadlineOption, ms) }
+
+// SetMaxAge sets the seconds for which a response stays fresh, which on a refusal is
+// the time to wait before a retry.
+func (m *Message) SetMaxAge(seconds uint32) { m.setUint(message.MaxAge, seconds) }
+
+// MaxAge returns the Max-Age option, 60 when absent (RFC 7252, 5.10.5).
+func (m *Message) MaxAge() uint32 {
+	if v, ok := m.uintOption(message.MaxAge); ok {
+		return v
+	}
+	return 60
+}
+
+// Echo returns the Echo option (RFC 9175), nil when absent.
+func (m *Message) Echo() []byte {
+	v, err := m.options.GetBytes(message.Echo)
+	if err != nil {
+		return nil
+	}
+	return v
+}
+
+// SetEcho sets the Echo option.
+func (m *Message) SetEcho(v []byte) {
+	m.options = m.options.Set(message.Option{ID: message.Echo, Value: v})
+}
+
+// RemoveEcho removes the Echo option, which is between caller and entry instance only.
+func (m *Message) RemoveEcho() { m.options = m.options.Remove(message.Echo) }
+
+// RequestIdentity returns the options and payload that identify a request, without
+// those that differ between its repeats (Echo, deadline).
+func (m *Message) RequestIdentity() []byte {
+	b := []byte{byte(m.Code)}
+	for _, o := range m.options {
+		if o.ID == message.Echo || o.ID == deadlineOption {
+			continue
+		}
+		b = append(b, byte(o.ID>>8), byte(o.ID), byte(len(o.Value)>>8), byte(len(o.Value)))
+		b = append(b, o.Value...)
+	}
+	b = append(b, math.MaxUint8)
+	return append(b, m.Payload...)
+}
+
+func (m *Message) uintOption(id message.OptionID) (uint32, bool) {
+	v, err := m.options.GetUint32(id)
+	return v, err == nil
+}
+
+func (m *Message) setUint(id message.OptionID, v uint32) {
+	opts, _, err := m.options.SetUint32(make([]byte, 4), id, v)
+	if err == nil {
+		m.options = opts
+	}
+}
+
+// NewResponse returns a response to request with the caller's token; the caller sets
+// type and ID when it sends it.
+func NewResponse(request *Message, code Code) *Message {
+	return &Message{Type: Acknowledgement, Code: code, ID: request.ID, Token: request.Token,
+		options: make(message.Options, 0, 4)}
+}
+
+// NewRequest returns an empty request.
+func NewRequest(code Code, path string) (*Message, error) {
+	m := &Message{Type: Confirmable, Code: code, options: make(message.Options, 0, 8)}
+	if err := m.SetPath(path); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// NewEmpty returns an Acknowledgement or Reset for the message with the given ID.
+func NewEmpty(t Type, id uint16) *Message { return &Message{Type: t, Code: Empty, ID: id} }
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,56 @@
+// Package logging sets up key=value logs and holds the names of their fields.
+package logging
+
+import (
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// The field names of log lines and timeline events.
+const (
+	Instance    = "instance"
+	Domain      = "domain"
+	Service     = "service"
+	Server      = "server"
+	Caller      = "caller"
+	Peer        = "peer"
+	Code        = "code"
+	Version     = "version"
+	Incarnation = "incarnation"
+	State       = "state"
+	Reason      = "reason"
+	Count       = "count"
+	Duration    = "duration"
+	Address     = "address"
+)
+
+// New returns a logger that writes one line of key=value pairs for each event.
+func New(w io.Writer, level, instance, domain string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Logger{}, err
+	}
+	out := zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		FormatTimestamp: func(v any) string { return "time=" + value(v) },
+		FormatLevel:     func(v any) string { return "level=" + value(v) },
+		FormatMessage:   func(v any) string { return "msg=" + quote(value(v)) },
+		FormatCaller:    func(v any) string { return "source=" + value(v) },
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(out).Level(l).With().Timestamp().Str(Instance, instance).Str(Domain, domain).Logger(), nil
+}
+
+func value(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+func quote(s string) string {
+	if strings.ContainsAny(s, " =\"") {
+		return `"` + strings.ReplaceAll(s, `"`, `'`) + `"`
+	}
+	return s
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,191 @@
+// Package settings reads the daemon's settings from flags and environment variables
+// and checks all of them at start.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// EnvPrefix starts the name of each environment variable: the flag name in upper
+// case with underscores follows.
+const EnvPrefix = "MONSOONTHREAD_"
+
+// Settings are the daemon's settings. A flag outranks its environment variable.
+type Settings struct {
+	InstanceID    string
+	FailureDomain string
+	Weight        uint32
+
+	PeerAddress     string
+	FabricListen    string
+	FabricAddress   string
+	MetricsAddress  string
+	BackendSourceIP string
+
+	StoreURL        string
+	InstanceListURL string
+
+	TLSCert, TLSKey, TLSCA string
+
+	LogLevel       string
+	Workers        int
+	Seed           uint64
+	FaultInjection bool
+
+	ProbeInterval     time.Duration
+	SuspicionTimeout  time.Duration
+	StopTimeout       time.Duration
+	PermitLifetime    time.Duration
+	NonIdempotentSend time.Duration
+	CopyBudget        int
+	MaxFlows          int
+	NewFlowsPerPrefix int
+	HealthInterval    time.Duration
+	DispatchPolicy    string
+}
+
+// Policies are the allowed values of --dispatch-policy; all but the first are
+// baselines for measurements.
+var Policies = []string{"summaries", "no-summary", "round-robin", "random"}
+
+// LogLevels are the allowed values of --log-level.
+var LogLevels = []string{"debug", "info", "warn", "error"}
+
+var idPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// AddFlags registers the settings as flags.
+func (s *Settings) AddFlags(f *pflag.FlagSet) {
+	f.StringVar(&s.InstanceID, "instance-id", "", "ID of this entry instance, unique in the deployment")
+	f.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this entry instance")
+	f.Uint32Var(&s.Weight, "weight", 100, "size of this entry instance; 100 is the reference size")
+	f.StringVar(&s.PeerAddress, "peer-address", "", "ip:port for gRPC from other entry instances and operators")
+	f.StringVar(&s.FabricListen, "fabric-listen", "", "ip:port for UDP datagrams from the fabric")
+	f.StringVar(&s.FabricAddress, "fabric-address", "", "ip:port of the fabric for answers to callers")
+	f.StringVar(&s.MetricsAddress, "metrics-address", "", "ip:port for HTTP metrics, health and readiness; empty disables")
+	f.StringVar(&s.BackendSourceIP, "backend-source-ip", "127.0.0.1", "source IP of requests to backend servers")
+	f.StringVar(&s.StoreURL, "store-url", "", "base URL of the key-value service")
+	f.StringVar(&s.InstanceListURL, "instance-list-url", "", "base URL of the instance list")
+	f.StringVar(&s.TLSCert, "tls-cert", "", "PEM certificate for gRPC; without it gRPC is not encrypted")
+	f.StringVar(&s.TLSKey, "tls-key", "", "PEM key of --tls-cert")
+	f.StringVar(&s.TLSCA, "tls-ca", "", "PEM certificates that sign peers and operators")
+	f.StringVar(&s.LogLevel, "log-level", "info", "least severe level that is logged: debug, info, warn or error")
+	f.IntVar(&s.Workers, "workers", 4, "workers that process datagrams, 1 to 256")
+	f.Uint64Var(&s.Seed, "seed", 0, "seed of random choices; 0 takes one from the system")
+	f.BoolVar(&s.FaultInjection, "fault-injection", false, "accept POST /fault/... on the metrics address (tests only)")
+	f.DurationVar(&s.ProbeInterval, "probe-interval", 200*time.Millisecond, "time between heartbeats to a random peer, 20ms to 10s")
+	f.DurationVar(&s.SuspicionTimeout, "suspicion-timeout", 1200*time.Millisecond, "time before a suspect is declared dead, at least 3 probe intervals")
+	f.DurationVar(&s.StopTimeout, "stop-timeout", 30*time.Second, "longest duration of a graceful stop")
+	f.DurationVar(&s.PermitLifetime, "permit-lifetime", 10*time.Second, "lifetime of a permit for a non-idempotent request, 1s to 5m")
+	f.DurationVar(&s.NonIdempotentSend, "non-idempotent-retransmit", 2*time.Second, "time during which a non-idempotent request is retransmitted to a backend server; must be below the shortest restart of a backend server")
+	f.IntVar(&s.CopyBudget, "copy-budget", 2048, "bytes a second for copies of stream records, 128 to 1048576")
+	f.IntVar(&s.MaxFlows, "max-flows", 400000, "most flows held, 1000 to 10000000")
+	f.IntVar(&s.NewFlowsPerPrefix, "new-flows-per-prefix", 20000, "new flows a second from one /24 (IPv4) or /56 (IPv6) prefix")
+	f.DurationVar(&s.HealthInterval, "health-interval", 500*time.Millisecond, "time between health queries to a backend server, 50ms to 10s")
+	f.StringVar(&s.DispatchPolicy, "dispatch-policy", Policies[0], "choice among dispatchers: "+strings.Join(Policies, ", "))
+}
+
+// ApplyEnvironment sets each flag that is not on the command line from its
+// environment variable. It returns every value that a flag does not accept.
+func ApplyEnvironment(f *pflag.FlagSet) error {
+	var errs []error
+	f.VisitAll(func(flag *pflag.Flag) {
+		name := EnvName(flag.Name)
+		value, ok := os.LookupEnv(name)
+		if !ok || flag.Changed {
+			return
+		}
+		if err := f.Set(flag.Name, value); err != nil {
+			errs = append(errs, result.Errorf(result.SettingsInvalid, "%s: %w", name, err))
+		}
+	})
+	return errors.Join(errs...)
+}
+
+// EnvName returns the environment variable of a flag.
+func EnvName(flag string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Check returns every mistake in the settings, each with the setting's name and the
+// values that it allows.
+func (s *Settings) Check() error {
+	var errs []error
+	bad := func(name, format string, args ...any) {
+		errs = append(errs, result.Errorf(result.SettingsInvalid, "--%s: %s", name, fmt.Sprintf(format, args...)))
+	}
+	for name, v := range map[string]string{"instance-id": s.InstanceID, "failure-domain": s.FailureDomain} {
+		if !idPattern.MatchString(v) {
+			bad(name, "%q must have 1 to 63 lower-case letters, digits or inner hyphens", v)
+		}
+	}
+	for name, v := range map[string]string{"peer-address": s.PeerAddress, "fabric-listen": s.FabricListen, "fabric-address": s.FabricAddress} {
+		if a, err := netip.ParseAddrPort(v); err != nil || a.Port() == 0 {
+			bad(name, "%q must be ip:port with a port from 1 to 65535", v)
+		}
+	}
+	if s.MetricsAddress != "" {
+		if _, err := netip.ParseAddrPort(s.MetricsAddress); err != nil {
+			bad("metrics-address", "%q must be empty or ip:port", s.MetricsAddress)
+		}
+	}
+	if _, err := netip.ParseAddr(s.BackendSourceIP); err != nil {
+		bad("backend-source-ip", "%q must be an IP address", s.BackendSourceIP)
+	}
+	for name, v := range map[string]string{"store-url": s.StoreURL, "instance-list-url": s.InstanceListURL} {
+		if u, err := url.Parse(v); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			bad(name, "%q must be an http or https URL", v)
+		}
+	}
+	if set := countSet(s.TLSCert, s.TLSKey, s.TLSCA); set != 0 && set != 3 {
+		bad("tls-cert", "--tls-cert, --tls-key and --tls-ca must be set together")
+	}
+	checkChoice(bad, "log-level", s.LogLevel, LogLevels)
+	checkChoice(bad, "dispatch-policy", s.DispatchPolicy, Policies)
+	checkRange(bad, "weight", int(s.Weight), 1, 100000)
+	checkRange(bad, "workers", s.Workers, 1, 256)
+	checkRange(bad, "copy-budget", s.CopyBudget, 128, 1<<20)
+	checkRange(bad, "max-flows", s.MaxFlows, 1000, 10_000_000)
+	checkRange(bad, "new-flows-per-prefix", s.NewFlowsPerPrefix, 1, 1_000_000)
+	checkRange(bad, "probe-interval", s.ProbeInterval, 20*time.Millisecond, 10*time.Second)
+	checkRange(bad, "suspicion-timeout", s.SuspicionTimeout, 3*s.ProbeInterval, time.Minute)
+	checkRange(bad, "stop-timeout", s.StopTimeout, time.Second, 10*time.Minute)
+	checkRange(bad, "permit-lifetime", s.PermitLifetime, time.Second, 5*time.Minute)
+	checkRange(bad, "non-idempotent-retransmit", s.NonIdempotentSend, 0, time.Minute)
+	checkRange(bad, "health-interval", s.HealthInterval, 50*time.Millisecond, 10*time.Second)
+	return errors.Join(errs...)
+}
+
+func countSet(values ...string) (n int) {
+	for _, v := range values {
+		if v != "" {
+			n++
+		}
+	}
+	return n
+}
+
+func checkChoice(bad func(string, string, ...any), name, v string, allowed []string) {
+	for _, a := range allowed {
+		if v == a {
+			return
+		}
+	}
+	bad(name, "%q must be one of %s", v, strings.Join(allowed, ", "))
+}
+
+func checkRange[T int | time.Duration](bad func(string, string, ...any), name string, v, low, high T) {
+	if v < low || v > high {
+		bad(name, "%v must be from %v to %v", v, low, high)
+	}
+}
