--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,193 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/monsoonthread/monsoonthread/placement"
+)
+
+// Instance identifies one run of an entry instance.
+type Instance struct {
+	ID, Domain, PeerAddress string
+	Weight                  uint32
+	Incarnation             uint64
+}
+
+// State is the condition of an instance as one view sees it.
+type State uint8
+
+// The states. A leaving instance that is also suspected is shown as Leaving, so that
+// a lost heartbeat cannot give it new flows.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// String returns the name used in logs and by the operators' tool.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "invalid"
+}
+
+// Entry is an instance in a view.
+type Entry struct {
+	Instance
+	State         State
+	ConfigVersion uint64
+}
+
+// placeable reports whether the entry may hold new flows and dispatch servers. A
+// suspect stays placeable: most suspicions are refuted, and moving its flows for a
+// second would break more than it saves.
+func (e *Entry) placeable() bool { return e.State == Alive || e.State == Suspect }
+
+// Domain is a failure domain in a view. Members are sorted by ID and include dead
+// instances for the dead retention.
+type Domain struct {
+	Name      string
+	Weight    uint32
+	Members   []Entry
+	Reachable bool
+
+	place    []placement.Member // placeable members
+	placeIdx []int32            // index in Members for each element of place
+	byID     map[string]int32
+	// vacant: the domain has no live instance, and the instance list shows none either,
+	// so that other domains dispatch its backend servers.
+	vacant bool
+}
+
+// View is an immutable snapshot of the membership. Version grows with every change of
+// a state, also over restarts of the instance, but is not comparable between instances.
+type View struct {
+	Version uint64
+	Domains []Domain // sorted by name
+
+	flowDomains []placement.Member // reachable domains with placeable members
+	flowIdx     []int32
+	liveDomains []placement.Member // domains with placeable members that are not vacant
+	liveIdx     []int32
+}
+
+// newDomain computes the placement of a domain once, so that lookups do not allocate.
+// members is sorted in place and kept.
+func newDomain(name string, weight uint32, members []Entry, reachable, vacant bool) Domain {
+	slices.SortFunc(members, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	d := Domain{Name: name, Weight: weight, Members: members, Reachable: reachable, vacant: vacant,
+		byID: make(map[string]int32, len(members))}
+	for i := range members {
+		d.byID[members[i].ID] = int32(i)
+		if members[i].placeable() && members[i].Weight > 0 {
+			d.place = append(d.place, placement.NewMember(members[i].ID, members[i].Weight))
+			d.placeIdx = append(d.placeIdx, int32(i))
+		}
+	}
+	return d
+}
+
+// newView keeps domains, which must be sorted by name.
+func newView(version uint64, domains []Domain) *View {
+	v := &View{Version: version, Domains: domains}
+	for i := range domains {
+		d := &domains[i]
+		if len(d.place) == 0 || d.vacant {
+			continue
+		}
+		m := placement.NewMember(d.Name, d.Weight)
+		v.liveDomains = append(v.liveDomains, m)
+		v.liveIdx = append(v.liveIdx, int32(i))
+		if d.Reachable {
+			v.flowDomains = append(v.flowDomains, m)
+			v.flowIdx = append(v.flowIdx, int32(i))
+		}
+	}
+	return v
+}
+
+func (d *Domain) pick(key uint64) (Entry, bool) {
+	i := placement.Pick(key, d.place)
+	if i < 0 {
+		return Entry{}, false
+	}
+	return d.Members[d.placeIdx[i]], true
+}
+
+// Holder returns the instance that owns the flow: first a reachable domain is chosen,
+// then an instance in it, so that a change in one domain does not move the flows of
+// another. It does not allocate.
+func (v *View) Holder(flowKey uint64) (Entry, bool) {
+	i := placement.Pick(flowKey, v.flowDomains)
+	if i < 0 {
+		return Entry{}, false
+	}
+	return v.Domains[v.flowIdx[i]].pick(flowKey)
+}
+
+// RunnerUp returns the instance that takes the flow over when its holder dies: the
+// second instance of the holder's domain, or the first one of the next domain. It does
+// not allocate.
+func (v *View) RunnerUp(flowKey uint64) (Entry, bool) {
+	first, second := placement.Top2(flowKey, v.flowDomains)
+	if first < 0 {
+		return Entry{}, false
+	}
+	d := &v.Domains[v.flowIdx[first]]
+	if _, i := placement.Top2(flowKey, d.place); i >= 0 {
+		return d.Members[d.placeIdx[i]], true
+	}
+	if second < 0 {
+		return Entry{}, false
+	}
+	return v.Domains[v.flowIdx[second]].pick(flowKey)
+}
+
+// Dispatcher returns the instance that dispatches a backend server of a domain. An
+// unreachable domain keeps its servers, because it may be cut off and still
+// dispatching; only a vacant one is taken over by the next domain. Reachability does
+// not influence which domain that is, so that both sides of a partition agree. It does
+// not allocate.
+func (v *View) Dispatcher(domain, server string) (Entry, bool) {
+	key := placement.Key("server", server)
+	d := v.domain(domain)
+	if d == nil {
+		return Entry{}, false
+	}
+	if !d.vacant {
+		return d.pick(key)
+	}
+	i := placement.Pick(key, v.liveDomains)
+	if i < 0 {
+		return Entry{}, false
+	}
+	return v.Domains[v.liveIdx[i]].pick(key)
+}
+
+// Member returns the entry of an instance.
+func (v *View) Member(id string) (Entry, bool) {
+	for i := range v.Domains {
+		if j, ok := v.Domains[i].byID[id]; ok {
+			return v.Domains[i].Members[j], true
+		}
+	}
+	return Entry{}, false
+}
+
+func (v *View) domain(name string) *Domain {
+	i, ok := slices.BinarySearchFunc(v.Domains, name, func(d Domain, n string) int { return strings.Compare(d.Name, n) })
+	if !ok {
+		return nil
+	}
+	return &v.Domains[i]
+}
