--- /dev/null
+++ b/permit/expiry.go
@@ -0,0 +1,68 @@
+package permit
+
+import "time"
+
+// bucketMillis is the granularity at which records are removed after expiry.
+const bucketMillis = 1000
+
+// expiryRing keeps records in buckets by expiry. Its lists run through the records,
+// so removal is O(1) and leaves nothing behind.
+type expiryRing struct {
+	buckets []record // list heads
+	first   int64    // lowest bucket number that may hold records
+	len     int
+}
+
+func newExpiryRing(lifetime time.Duration) expiryRing {
+	e := expiryRing{buckets: make([]record, lifetime.Milliseconds()/bucketMillis+3)}
+	for i := range e.buckets {
+		h := &e.buckets[i]
+		h.prev, h.next = h, h
+	}
+	return e
+}
+
+func bucketOf(nonce uint64) int64 { return expiryOf(nonce) / bucketMillis }
+
+func (e *expiryRing) head(bucket int64) *record {
+	return &e.buckets[bucket%int64(len(e.buckets))]
+}
+
+func (e *expiryRing) add(r *record) {
+	b := bucketOf(r.nonce)
+	if e.len == 0 || b < e.first {
+		e.first = b
+	}
+	h := e.head(b)
+	r.prev, r.next = h.prev, h
+	h.prev.next, h.prev = r, r
+	e.len++
+}
+
+func (e *expiryRing) remove(r *record) {
+	r.prev.next, r.next.prev = r.next, r.prev
+	r.prev, r.next = nil, nil
+	e.len--
+}
+
+// oldest returns a record from the bucket that expires first, or nil.
+func (e *expiryRing) oldest() *record {
+	if e.len == 0 {
+		return nil
+	}
+	for ; ; e.first++ {
+		if h := e.head(e.first); h.next != h {
+			return h.next
+		}
+	}
+}
+
+// expired returns a record that expired at or before ms, or nil. A bucket counts as
+// expired once its last millisecond has passed.
+func (e *expiryRing) expired(ms int64) *record {
+	r := e.oldest()
+	if r == nil || (bucketOf(r.nonce)+1)*bucketMillis > ms {
+		return nil
+	}
+	return r
+}
