Add stand-ins for the fabric, key-value service, list and backend servers

Cause: the first path through the daemon needs counterparts for the platform and the backend servers, each as a process of its own.

Change: libraries under internal/standin, each with a control endpoint, and 'lab standin NAME' with one thin command per stand-in.

Ruled out: one shared process for all stand-ins; the process-level tests must be able to stop each one by its process id.

--- /dev/null
+++ b/internal/standin/kvservice/control.go
@@ -0,0 +1,35 @@
+package kvservice
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Handler returns the service and its control endpoint:
+//
+//	GET, PUT /v1/kv/{key}        see docs/design.md, section 4.5
+//	GET      /healthz            answers 200, also in an outage
+//	GET      /control/counters   Counters
+//	GET, PUT /control/faults     Faults
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", s.get)
+	mux.HandleFunc("PUT /v1/kv/{key...}", s.put)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counters()) })
+	mux.HandleFunc("GET /control/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Faults()) })
+	mux.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	})
+	return mux
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a lost connection needs no handling here
+}
--- /dev/null
+++ b/internal/standin/kvservice/kvservice.go
@@ -0,0 +1,348 @@
+// Package kvservice is a stand-in for the key-value service of the platform: an HTTP
+// store with compare-and-swap, leases and watches, whose rates are limited and which can
+// be down or slow, or lose answers after a write took effect.
+package kvservice
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// MaxValueBytes is the platform's limit for one value.
+	MaxValueBytes = 1 << 20
+	// DomainHeader names the failure domain of the client.
+	DomainHeader = "X-Failure-Domain"
+	// maxWait bounds a watch whatever the client asks for.
+	maxWait = 5 * time.Minute
+	// cutHold bounds how long a request that cannot arrive is kept open.
+	cutHold = time.Minute
+)
+
+// Faults describes what the service does wrong. The zero value is a healthy service.
+type Faults struct {
+	// Outage answers every call with 503.
+	Outage bool `json:"outage"`
+	// SlowMS delays every answer.
+	SlowMS int `json:"slow_ms"`
+	// LoseAnswers is the probability that the answer to a successful write is lost.
+	LoseAnswers float64 `json:"lose_answers"`
+	// LoseNextAnswers is the number of successful writes whose answers are lost next.
+	LoseNextAnswers int `json:"lose_next_answers"`
+	// CutDomains are the failure domains whose clients get no answer at all.
+	CutDomains []string `json:"cut_domains"`
+	// ReadsPerSecond and WritesPerSecond are rate limits; 0 means none.
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
+}
+
+// Counters count calls by kind since the start.
+type Counters struct {
+	Reads       uint64            `json:"reads"`
+	Writes      uint64            `json:"writes"`
+	Watches     uint64            `json:"watches"`
+	Conflicts   uint64            `json:"conflicts"`
+	NotFound    uint64            `json:"not_found"`
+	RateLimited uint64            `json:"rate_limited"`
+	Outages     uint64            `json:"outages"`
+	LostAnswers uint64            `json:"lost_answers"`
+	Cut         uint64            `json:"cut"`
+	Expired     uint64            `json:"expired_leases"`
+	ByDomain    map[string]uint64 `json:"by_domain"`
+}
+
+type entry struct {
+	value    []byte
+	revision uint64
+	expires  time.Time // zero without a lease
+}
+
+// Service is the store. It is safe for concurrent use.
+type Service struct {
+	now func() time.Time
+
+	mu       sync.Mutex // protects the fields below
+	rng      *rand.Rand
+	entries  map[string]entry
+	revision uint64
+	changed  chan struct{} // closed and replaced at each change
+	faults   Faults
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+	count    Counters
+}
+
+// New returns an empty store; now is the clock that leases use.
+func New(seed uint64, now func() time.Time) *Service {
+	return &Service{
+		now: now, rng: rand.New(rand.NewPCG(seed, 0)), entries: map[string]entry{},
+		changed: make(chan struct{}), reads: limiter(0), writes: limiter(0),
+		count: Counters{ByDomain: map[string]uint64{}},
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.ReadsPerSecond != s.faults.ReadsPerSecond {
+		s.reads = limiter(f.ReadsPerSecond)
+	}
+	if f.WritesPerSecond != s.faults.WritesPerSecond {
+		s.writes = limiter(f.WritesPerSecond)
+	}
+	s.faults = f
+}
+
+// Faults returns the faults in force.
+func (s *Service) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the call counts.
+func (s *Service) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.count
+	c.ByDomain = make(map[string]uint64, len(s.count.ByDomain))
+	for d, n := range s.count.ByDomain {
+		c.ByDomain[d] = n
+	}
+	return c
+}
+
+// admit counts the call and reports whether it may go on; it answers refused calls.
+func (s *Service) admit(w http.ResponseWriter, r *http.Request, write, watch bool) bool {
+	s.mu.Lock()
+	domain := r.Header.Get(DomainHeader)
+	if slices.Contains(s.faults.CutDomains, domain) {
+		s.count.Cut++
+		s.mu.Unlock()
+		hold(r)
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
+	s.count.ByDomain[domain]++
+	limit := s.reads
+	switch {
+	case write:
+		s.count.Writes++
+		limit = s.writes
+	case watch:
+		s.count.Watches++
+	default:
+		s.count.Reads++
+	}
+	slow := time.Duration(s.faults.SlowMS) * time.Millisecond
+	outage := s.faults.Outage
+	limited := !outage && !limit.AllowN(s.now(), 1)
+	if outage {
+		s.count.Outages++
+	}
+	if limited {
+		s.count.RateLimited++
+	}
+	s.mu.Unlock()
+
+	sleep(r, slow)
+	switch {
+	case outage:
+		http.Error(w, "service is down", http.StatusServiceUnavailable)
+	case limited:
+		http.Error(w, "rate limit passed", http.StatusTooManyRequests)
+	}
+	return !outage && !limited
+}
+
+// hold keeps a request open until its client gives up.
+func hold(r *http.Request) { sleep(r, cutHold) }
+
+func sleep(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
+// lookup returns the live entry of a key. The caller holds mu.
+func (s *Service) lookup(key string) (entry, bool) {
+	e, ok := s.entries[key]
+	if ok && !e.expires.IsZero() && !s.now().Before(e.expires) {
+		s.count.Expired++
+		delete(s.entries, key)
+		return entry{}, false
+	}
+	return e, ok
+}
+
+func etag(revision uint64) string { return `"` + strconv.FormatUint(revision, 10) + `"` }
+
+func parseETag(s string) (uint64, error) {
+	v, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("entity tag %q is not a revision", s)
+	}
+	return v, nil
+}
+
+func (s *Service) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if !s.admit(w, r, false, q.Has("after")) {
+		return
+	}
+	key := r.PathValue("key")
+	if q.Has("after") {
+		s.watch(w, r, key)
+		return
+	}
+	s.mu.Lock()
+	e, ok := s.lookup(key)
+	if !ok {
+		s.count.NotFound++
+	}
+	s.mu.Unlock()
+	s.answer(w, e, ok)
+}
+
+func (s *Service) answer(w http.ResponseWriter, e entry, ok bool) {
+	if !ok {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", etag(e.revision))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(e.value) // a lost connection needs no handling here
+}
+
+// watch answers when the key has a revision above "after", or 304 when the wait ends.
+func (s *Service) watch(w http.ResponseWriter, r *http.Request, key string) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	ms, err := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	if q.Has("wait_ms") && err != nil {
+		http.Error(w, "wait_ms is not a number", http.StatusBadRequest)
+		return
+	}
+	deadline := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWait))
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		e, ok := s.lookup(key)
+		changed, faults := s.changed, s.faults
+		s.mu.Unlock()
+		if slices.Contains(faults.CutDomains, r.Header.Get(DomainHeader)) {
+			hold(r)
+			panic(http.ErrAbortHandler)
+		}
+		if faults.Outage {
+			http.Error(w, "service is down", http.StatusServiceUnavailable)
+			return
+		}
+		if ok && e.revision > after {
+			s.answer(w, e, true)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// put is compare-and-swap when a precondition is given.
+func (s *Service) put(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r, true, false) {
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		http.Error(w, "value is larger than 1 MB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	var lease time.Duration
+	if v := r.URL.Query().Get("lease_ms"); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 {
+			http.Error(w, "lease_ms is not a positive number", http.StatusBadRequest)
+			return
+		}
+		lease = time.Duration(ms) * time.Millisecond
+	}
+	var want uint64
+	match := r.Header.Get("If-Match")
+	if match != "" {
+		if want, err = parseETag(match); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	revision, status, lost := s.store(r.PathValue("key"), value, lease, match != "", want, r.Header.Get("If-None-Match") == "*")
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if revision > 0 {
+		w.Header().Set("ETag", etag(revision))
+	}
+	w.WriteHeader(status)
+}
+
+// store applies a write; lost says that the client must not learn the result.
+func (s *Service) store(key string, value []byte, lease time.Duration, match bool, want uint64, absent bool) (revision uint64, status int, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.lookup(key)
+	if (match && (!ok || e.revision != want)) || (absent && ok) {
+		s.count.Conflicts++
+		return e.revision, http.StatusPreconditionFailed, false
+	}
+	s.revision++
+	e = entry{value: value, revision: s.revision}
+	if lease > 0 {
+		e.expires = s.now().Add(lease)
+	}
+	s.entries[key] = e
+	close(s.changed)
+	s.changed = make(chan struct{})
+	lost = s.rng.Float64() < s.faults.LoseAnswers
+	if s.faults.LoseNextAnswers > 0 {
+		s.faults.LoseNextAnswers--
+		lost = true
+	}
+	if lost {
+		s.count.LostAnswers++
+	}
+	if ok {
+		return e.revision, http.StatusNoContent, lost
+	}
+	return e.revision, http.StatusCreated, lost
+}
--- /dev/null
+++ b/test/lab/main.go
@@ -0,0 +1,24 @@
+// Command lab starts deployments of monsoonthread with stand-ins for the platform and
+// the backend servers, applies load, and measures.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "lab", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(standinCommand())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		os.Exit(1)
+	}
+}
