Add the callers stand-in: open-loop load, stream and archive checks

Cause: experiments need load whose rate does not follow the answers, and callers that notice a gap, a step back, a lost order or a wrong archive.

--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -196,6 +196,7 @@
 	defer s.mu.Unlock()
 	st := s.status
 	st.Name, st.Service, st.Domain = s.spec.Name, s.spec.Service, s.spec.Domain
+	st.Address = s.spec.Address
 	st.Alive, st.Draining = !s.dead, !s.drainedAt.IsZero()
 	st.Slots, st.Running, st.Streams = s.spec.Slots, len(s.running), len(s.observers)
 	st.Speed = s.speedLocked(time.Now())
--- a/internal/standin/backendserver/spec.go
+++ b/internal/standin/backendserver/spec.go
@@ -128,27 +128,28 @@
 
 // Status is the state and the counters of a server.
 type Status struct {
-	Name          string  `json:"name"`
-	Service       string  `json:"service"`
-	Domain        string  `json:"domain"`
-	Alive         bool    `json:"alive"`
-	Draining      bool    `json:"draining"`
-	Speed         float64 `json:"speed"`
-	Slots         int     `json:"slots"`
-	Running       int     `json:"running"`
-	Streams       int     `json:"streams"`
-	Executed      uint64  `json:"executed"`
-	Abandoned     uint64  `json:"abandoned"`
-	BusyUS        int64   `json:"busy_us"` // slot time used
-	Shed          uint64  `json:"shed"`
-	Overruns      uint64  `json:"overruns"` // requests that arrived with all slots busy
-	StreamsShed   uint64  `json:"streams_shed"`
-	Misdelivered  uint64  `json:"misdelivered"`
-	Deduplicated  uint64  `json:"deduplicated"`
-	Cancelled     uint64  `json:"cancelled"`
-	Registrations uint64  `json:"registrations"`
-	Notifications uint64  `json:"notifications"`
-	LostObservers uint64  `json:"lost_observers"`
+	Name          string         `json:"name"`
+	Service       string         `json:"service"`
+	Domain        string         `json:"domain"`
+	Address       netip.AddrPort `json:"address"`
+	Alive         bool           `json:"alive"`
+	Draining      bool           `json:"draining"`
+	Speed         float64        `json:"speed"`
+	Slots         int            `json:"slots"`
+	Running       int            `json:"running"`
+	Streams       int            `json:"streams"`
+	Executed      uint64         `json:"executed"`
+	Abandoned     uint64         `json:"abandoned"`
+	BusyUS        int64          `json:"busy_us"` // slot time used
+	Shed          uint64         `json:"shed"`
+	Overruns      uint64         `json:"overruns"` // requests that arrived with all slots busy
+	StreamsShed   uint64         `json:"streams_shed"`
+	Misdelivered  uint64         `json:"misdelivered"`
+	Deduplicated  uint64         `json:"deduplicated"`
+	Cancelled     uint64         `json:"cancelled"`
+	Registrations uint64         `json:"registrations"`
+	Notifications uint64         `json:"notifications"`
+	LostObservers uint64         `json:"lost_observers"`
 	// WorkWhileDraining counts requests and new registrations that arrived while
 	// draining; LastWorkAfterDrainMS is when the last of them arrived after the start.
 	WorkWhileDraining    uint64 `json:"work_while_draining"`
--- a/test/lab/standin.go
+++ b/test/lab/standin.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/monsoonthread/monsoonthread/internal/standin/backendserver"
+	"github.com/monsoonthread/monsoonthread/internal/standin/callers"
 	"github.com/monsoonthread/monsoonthread/internal/standin/fabric"
 	"github.com/monsoonthread/monsoonthread/internal/standin/instancelist"
 	"github.com/monsoonthread/monsoonthread/internal/standin/kvservice"
@@ -23,7 +25,7 @@
 
 func standinCommand() *cobra.Command {
 	c := &cobra.Command{Use: "standin", Short: "Run one stand-in in this process"}
-	c.AddCommand(fabricCommand(), kvserviceCommand(), instancelistCommand(), backendserverCommand())
+	c.AddCommand(fabricCommand(), kvserviceCommand(), instancelistCommand(), backendserverCommand(), callersCommand())
 	return c
 }
 
@@ -107,6 +109,30 @@
 	return c
 }
 
+func callersCommand() *cobra.Command {
+	var control, plan string
+	c := &cobra.Command{Use: "callers", Short: "Execute a plan of callers and serve its report until stopped", Args: cobra.NoArgs}
+	c.Flags().StringVar(&control, "control", "127.0.0.1:0", "HTTP address of the control endpoint")
+	c.Flags().StringVar(&plan, "plan", "{}", "plan as JSON")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		var p callers.Plan
+		if err := json.Unmarshal([]byte(plan), &p); err != nil {
+			return fmt.Errorf("--plan: %w", err)
+		}
+		r, err := callers.New(p)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := r.Run(cmd.Context()); err != nil {
+				fmt.Fprintln(os.Stderr, "callers:", err)
+			}
+		}()
+		return serve(cmd.Context(), "callers", control, r.Handler(), "")
+	}
+	return c
+}
+
 // serve answers HTTP until the context ends and prints one line when it is ready.
 func serve(ctx context.Context, name, address string, h http.Handler, detail string) error {
 	l, err := net.Listen("tcp", address)
