--- a/cmd/monsoonthreadd/main.go
+++ b/cmd/monsoonthreadd/main.go
@@ -1,4 +1,87 @@
 // Command monsoonthreadd is the entry instance daemon.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/monsoonthread/monsoonthread/internal/daemon"
+	"github.com/monsoonthread/monsoonthread/internal/logging"
+	"github.com/monsoonthread/monsoonthread/internal/security"
+	"github.com/monsoonthread/monsoonthread/internal/settings"
+)
+
+// version is set at build time with -ldflags "-X main.version=...".
+var version = "devel"
+
+// Exit codes.
+const (
+	exitError    = 1
+	exitSettings = 2
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "monsoonthreadd:", err)
+		os.Exit(exitError)
+	}
+}
+
+func command() *cobra.Command {
+	var s settings.Settings
+	c := &cobra.Command{
+		Use:           "monsoonthreadd",
+		Short:         "Run an entry instance of the load balancer",
+		Long:          "Run an entry instance of the load balancer.\n\nEach flag can also be set by the environment variable " + settings.EnvPrefix + "<FLAG>,\nfor example " + settings.EnvName("instance-id") + ". A flag outranks its variable.",
+		Args:          cobra.NoArgs,
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	s.AddFlags(c.Flags())
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := settings.ApplyEnvironment(cmd.Flags()); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitSettings)
+		}
+		if err := s.Check(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitSettings)
+		}
+		return run(s)
+	}
+	return c
+}
+
+func run(s settings.Settings) error {
+	// Control state has a budget of 32 MB per instance; a lower growth factor keeps
+	// the resident memory near the live data.
+	debug.SetGCPercent(gcPercent)
+	log, err := logging.New(os.Stderr, s.LogLevel, s.InstanceID, s.FailureDomain)
+	if err != nil {
+		return err
+	}
+	var creds daemon.Credentials
+	if creds.Server, err = security.ServerCredentials(s.TLSCert, s.TLSKey, s.TLSCA); err != nil {
+		return err
+	}
+	if creds.Client, err = security.ClientCredentials(s.TLSCert, s.TLSKey, s.TLSCA); err != nil {
+		return err
+	}
+	d, err := daemon.New(s, log, creds)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return d.Run(ctx)
+}
+
+// gcPercent trades some processor time for memory.
+const gcPercent = 75
--- a/edge/message.go
+++ b/edge/message.go
@@ -255,3 +255,18 @@
 
 // NewEmpty returns an Acknowledgement or Reset for the message with the given ID.
 func NewEmpty(t Type, id uint16) *Message { return &Message{Type: t, Code: Empty, ID: id} }
+
+// HeaderOf returns the type, ID and token of a datagram whose options cannot be
+// decoded, or nil if even these cannot be read.
+func HeaderOf(datagram []byte) *Message {
+	const headerBytes = 4
+	if len(datagram) < headerBytes || datagram[0]>>6 != 1 {
+		return nil
+	}
+	tokenBytes := int(datagram[0] & 0xf)
+	if tokenBytes > message.MaxTokenSize || len(datagram) < headerBytes+tokenBytes {
+		return nil
+	}
+	return &Message{Type: Type(datagram[0] >> 4 & 3), Code: Code(datagram[1]),
+		ID: uint16(datagram[2])<<8 | uint16(datagram[3]), Token: datagram[headerBytes : headerBytes+tokenBytes]}
+}
--- /dev/null
+++ b/internal/daemon/backendedge.go
@@ -0,0 +1,435 @@
+package daemon
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/backend"
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/dispatch"
+	"github.com/monsoonthread/monsoonthread/edge"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	// exchangeLifetimeBackend is EXCHANGE_LIFETIME of RFC 7252: a message ID is not
+	// reused for a pair of endpoints within it.
+	exchangeLifetimeBackend = 247 * time.Second
+	messageIDs              = 1 << 16
+	// backendSockets bounds the source ports. Each gives 265 messages a second to one
+	// backend server, so 16 allow 4,240.
+	backendSockets = 16
+	// ackTimeout is the first retransmission delay. Backend servers are about 1.5 ms
+	// away and acknowledge at once; the delay doubles each time.
+	ackTimeout = 200 * time.Millisecond
+	// registrationDeadline bounds a registration of a stream.
+	registrationDeadline = 2 * time.Second
+	healthTimeout        = 300 * time.Millisecond
+	tokenBytes           = 8
+)
+
+// backendExchange is a message to a backend server that waits for its answer.
+type backendExchange struct {
+	server   config.BackendServer
+	grant    uint64
+	socket   int
+	datagram []byte
+	id       uint16
+	token    uint64
+	deadline time.Time
+	// resendUntil bounds retransmissions; a non-idempotent request gets less time.
+	resendUntil time.Time
+	delay       time.Duration
+	acked       bool
+	timer       *time.Timer
+	// end is called once: with the answer, or nil when none came before the deadline.
+	end func(answer *edge.Message)
+}
+
+// observation connects a backend server's notifications to a stream.
+type observation struct {
+	stream *stream
+	server string
+	addr   netip.AddrPort
+}
+
+// backendEdge exchanges messages with backend servers over a few UDP source ports.
+type backendEdge struct {
+	daemon  *Daemon
+	sockets []*net.UDPConn
+
+	mu           sync.Mutex
+	nextToken    uint64
+	byToken      map[uint64]*backendExchange
+	byGrant      map[uint64]uint64
+	byMessage    map[messageKey]uint64
+	observations map[uint64]*observation
+	ids          map[netip.AddrPort]*idAllocator
+}
+
+type messageKey struct {
+	addr   netip.AddrPort
+	socket int
+	id     uint16
+}
+
+// idAllocator hands out message IDs for one backend server, so that none is reused on
+// the same source port within EXCHANGE_LIFETIME.
+type idAllocator struct {
+	next  [backendSockets]uint32
+	start [backendSockets]time.Time
+}
+
+// take returns a socket and message ID, or false when all IDs are in use.
+func (a *idAllocator) take(now time.Time) (socket int, id uint16, ok bool) {
+	for i := range a.next {
+		if a.next[i] >= messageIDs && now.Sub(a.start[i]) >= exchangeLifetimeBackend {
+			a.next[i] = 0
+		}
+		if a.next[i] >= messageIDs {
+			continue
+		}
+		if a.next[i] == 0 {
+			a.start[i] = now
+		}
+		id := uint16(a.next[i])
+		a.next[i]++
+		if a.next[i] == messageIDs {
+			// The lifetime counts from the last use of an ID.
+			a.start[i] = now
+		}
+		return i, id, true
+	}
+	return 0, 0, false
+}
+
+func newBackendEdge(d *Daemon, sourceIP string) (*backendEdge, error) {
+	ip, err := netip.ParseAddr(sourceIP)
+	if err != nil {
+		return nil, fmt.Errorf("backend-source-ip: %w", err)
+	}
+	b := &backendEdge{daemon: d, nextToken: randomUint64(), byToken: map[uint64]*backendExchange{}, byGrant: map[uint64]uint64{},
+		byMessage: map[messageKey]uint64{}, observations: map[uint64]*observation{}, ids: map[netip.AddrPort]*idAllocator{}}
+	for i := range backendSockets {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
+		if err != nil {
+			b.close()
+			return nil, fmt.Errorf("open socket to backend servers: %w", err)
+		}
+		_ = conn.SetReadBuffer(socketBuffer)
+		b.sockets = append(b.sockets, conn)
+		d.goroutine(func() { b.read(i, conn) })
+	}
+	return b, nil
+}
+
+func (b *backendEdge) close() {
+	for _, s := range b.sockets {
+		s.Close()
+	}
+}
+
+// run sends a granted request and reports its outcome through finish.
+func (b *backendEdge) run(run dispatch.Run, job *dispatchJob, finish func(backend.Outcome, outcome)) {
+	m, err := edge.Decode(job.request)
+	if err != nil {
+		finish(backend.Shed, outcome{err: result.Errorf(result.NoBackendServer, "relayed request is malformed: %w", err)})
+		return
+	}
+	now := time.Now()
+	deadline := run.Request.Deadline
+	m.SetDeadline(uint32(max(deadline.Sub(now).Milliseconds(), 1)))
+	resendUntil := deadline
+	if !run.Request.Idempotent {
+		resendUntil = earlier(deadline, now.Add(b.daemon.settings.NonIdempotentSend))
+	}
+	x := &backendExchange{server: run.Server, grant: run.Grant, deadline: deadline, resendUntil: resendUntil}
+	x.end = func(answer *edge.Message) { finish(outcomeFrom(answer, run.Server.Name)) }
+	if !b.begin(x, m, now) {
+		finish(backend.Shed, outcome{err: result.Errorf(result.NoBackendServer, "all message IDs towards backend server %s are in use", run.Server.Name)})
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// outcomeFrom classifies a backend server's answer. A shed answer certifies that the
+// request did not run; no answer certifies nothing.
+func outcomeFrom(answer *edge.Message, server string) (backend.Outcome, outcome) {
+	if answer == nil {
+		return backend.Timeout, outcome{err: result.Errorf(result.BackendTimeout, "outcome unknown: backend server %s did not answer before the deadline", server)}
+	}
+	if answer.Type == edge.Reset {
+		return backend.Error, outcome{err: result.Errorf(result.BackendFailed, "outcome unknown: backend server %s reset the exchange", server)}
+	}
+	if answer.Code == edge.ServiceUnavailable {
+		return backend.Shed, outcome{server: server, retryAfter: time.Duration(answer.MaxAge()) * time.Second,
+			err: result.Errorf(result.BackendShed, "not run: backend server %s shed the request", server)}
+	}
+	answer = answer.Clone()
+	answer.Token, answer.ID = nil, 0
+	b, err := answer.Encode()
+	if err != nil {
+		return backend.Error, outcome{err: result.Errorf(result.BackendFailed, "outcome unknown: answer of backend server %s: %w", server, err)}
+	}
+	return backend.Success, outcome{response: b, server: server}
+}
+
+// begin sends the first transmission. It reports false when no message ID is free.
+func (b *backendEdge) begin(x *backendExchange, m *edge.Message, now time.Time) bool {
+	b.mu.Lock()
+	alloc := b.ids[x.server.Address]
+	if alloc == nil {
+		alloc = &idAllocator{}
+		b.ids[x.server.Address] = alloc
+	}
+	socket, id, ok := alloc.take(now)
+	if !ok {
+		b.mu.Unlock()
+		return false
+	}
+	x.socket, x.id, x.delay = socket, id, ackTimeout
+	if x.token == 0 {
+		x.token = b.newToken()
+	}
+	m.Type, m.ID, m.Token = edge.Confirmable, id, binary.BigEndian.AppendUint64(nil, x.token)
+	datagram, err := m.Encode()
+	if err != nil {
+		b.mu.Unlock()
+		b.daemon.violation("backend_request_encodes", err.Error())
+		return false
+	}
+	x.datagram = datagram
+	b.byToken[x.token] = x
+	b.byMessage[messageKey{x.server.Address, socket, id}] = x.token
+	if x.grant != 0 {
+		b.byGrant[x.grant] = x.token
+	}
+	x.timer = time.AfterFunc(min(x.delay, time.Until(x.deadline)), func() { b.expire(x) })
+	b.mu.Unlock()
+	b.transmit(x)
+	return true
+}
+
+// newToken returns a token that is unique in this process. b.mu is held.
+func (b *backendEdge) newToken() uint64 {
+	b.nextToken++
+	return b.nextToken
+}
+
+func (b *backendEdge) transmit(x *backendExchange) {
+	if b.daemon.faults.cutsServer(x.server.Domain) {
+		return
+	}
+	b.daemon.metrics.backendSent.Inc()
+	if _, err := b.sockets[x.socket].WriteToUDPAddrPort(x.datagram, x.server.Address); err != nil {
+		b.daemon.metrics.sendErrors.Inc()
+	}
+}
+
+// expire retransmits, or ends the exchange at its deadline.
+func (b *backendEdge) expire(x *backendExchange) {
+	now := time.Now()
+	b.mu.Lock()
+	if b.byToken[x.token] != x {
+		b.mu.Unlock()
+		return
+	}
+	if !now.Before(x.deadline) {
+		b.remove(x)
+		b.mu.Unlock()
+		x.end(nil)
+		return
+	}
+	resend := !x.acked && now.Before(x.resendUntil) && !b.daemon.members.fenced(now)
+	x.delay *= 2
+	x.timer.Reset(min(x.delay, x.deadline.Sub(now)))
+	b.mu.Unlock()
+	if resend {
+		b.daemon.metrics.backendResent.Inc()
+		b.transmit(x)
+	}
+}
+
+// remove forgets an exchange. b.mu is held.
+func (b *backendEdge) remove(x *backendExchange) {
+	x.timer.Stop()
+	delete(b.byToken, x.token)
+	delete(b.byMessage, messageKey{x.server.Address, x.socket, x.id})
+	if x.grant != 0 {
+		delete(b.byGrant, x.grant)
+	}
+}
+
+// cancel tells a backend server that nobody waits for a request any more. The slot
+// stays counted until the server answers or the deadline passes.
+func (b *backendEdge) cancel(grant uint64) {
+	b.mu.Lock()
+	x := b.byToken[b.byGrant[grant]]
+	b.mu.Unlock()
+	if x != nil {
+		b.write(x.socket, x.server.Address, edge.NewEmpty(edge.Reset, x.id))
+	}
+}
+
+func (b *backendEdge) write(socket int, to netip.AddrPort, m *edge.Message) {
+	datagram, err := m.Encode()
+	if err == nil {
+		_, err = b.sockets[socket].WriteToUDPAddrPort(datagram, to)
+	}
+	if err != nil {
+		b.daemon.metrics.sendErrors.Inc()
+	}
+}
+
+func (b *backendEdge) read(socket int, conn *net.UDPConn) {
+	buffer := make([]byte, 65536)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if b.daemon.life.stopped() {
+				return
+			}
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		m, err := edge.Decode(append([]byte(nil), buffer[:n]...))
+		if err != nil {
+			b.daemon.metrics.dropped(result.CodeOf(err))
+			continue
+		}
+		b.received(socket, from, m)
+	}
+}
+
+// received matches a message of a backend server to the exchange or observation that
+// it belongs to; the sender's address must match too.
+func (b *backendEdge) received(socket int, from netip.AddrPort, m *edge.Message) {
+	if m.Code == edge.Empty {
+		b.receivedEmpty(socket, from, m)
+		return
+	}
+	if len(m.Token) != tokenBytes {
+		b.daemon.metrics.lateAnswers.Inc()
+		return
+	}
+	token := binary.BigEndian.Uint64(m.Token)
+	b.mu.Lock()
+	x := b.byToken[token]
+	if x != nil && x.server.Address != from {
+		x = nil
+	}
+	if x != nil {
+		b.remove(x)
+	}
+	o := b.observations[token]
+	if o != nil && o.addr != from {
+		o = nil
+	}
+	b.mu.Unlock()
+	if m.Type == edge.Confirmable {
+		b.acknowledge(socket, from, m, x != nil || o != nil)
+	}
+	switch {
+	case x != nil:
+		x.end(m)
+	case o != nil:
+		b.daemon.streams.notified(o, token, m)
+	default:
+		b.daemon.metrics.lateAnswers.Inc()
+		if _, observe := m.Observe(); observe && m.Type == edge.NonConfirmable {
+			// Nobody knows the observation any more, so the server is told to end it.
+			b.write(socket, from, edge.NewEmpty(edge.Reset, m.ID))
+		}
+	}
+}
+
+// acknowledge answers a confirmable message: Reset ends an observation that is not
+// known here (RFC 7641, 3.6).
+func (b *backendEdge) acknowledge(socket int, from netip.AddrPort, m *edge.Message, known bool) {
+	kind := edge.Acknowledgement
+	if _, observe := m.Observe(); observe && !known {
+		kind = edge.Reset
+	}
+	b.write(socket, from, edge.NewEmpty(kind, m.ID))
+}
+
+// receivedEmpty processes an empty acknowledgement or reset.
+func (b *backendEdge) receivedEmpty(socket int, from netip.AddrPort, m *edge.Message) {
+	b.mu.Lock()
+	token, ok := b.byMessage[messageKey{from, socket, m.ID}]
+	x := b.byToken[token]
+	if !ok || x == nil {
+		b.mu.Unlock()
+		return
+	}
+	if m.Type == edge.Acknowledgement {
+		x.acked = true
+		b.mu.Unlock()
+		return
+	}
+	b.remove(x)
+	b.mu.Unlock()
+	x.end(m)
+}
+
+// query sends a GET that occupies no slot, for health and load.
+func (b *backendEdge) query(server config.BackendServer, path string, end func(*edge.Message)) {
+	m, err := edge.NewRequest(edge.GET, path)
+	if err != nil {
+		end(nil)
+		return
+	}
+	now := time.Now()
+	x := &backendExchange{server: server, deadline: now.Add(healthTimeout), resendUntil: now.Add(healthTimeout), end: end}
+	if !b.begin(x, m, now) {
+		end(nil)
+	}
+}
+
+// observe registers a stream at a backend server. The observation exists before the
+// first notification can arrive.
+func (b *backendEdge) observe(st *stream, server config.BackendServer, m *edge.Message, token uint64, end func(*edge.Message)) bool {
+	now := time.Now()
+	x := &backendExchange{server: server, token: token, deadline: now.Add(registrationDeadline), resendUntil: now.Add(registrationDeadline), end: end}
+	b.mu.Lock()
+	b.observations[token] = &observation{stream: st, server: server.Name, addr: server.Address}
+	b.mu.Unlock()
+	m.SetObserve(0)
+	if b.begin(x, m, now) {
+		return true
+	}
+	b.forget(token)
+	return false
+}
+
+// forget removes an observation; a later notification is answered with Reset.
+func (b *backendEdge) forget(token uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.observations, token)
+}
+
+// unobserve cancels an observation at the backend server.
+func (b *backendEdge) unobserve(server config.BackendServer, m *edge.Message, token uint64) {
+	b.forget(token)
+	now := time.Now()
+	m.SetObserve(1)
+	x := &backendExchange{server: server, token: token, deadline: now.Add(registrationDeadline), resendUntil: now.Add(registrationDeadline), end: func(*edge.Message) {}}
+	b.begin(x, m, now)
+}
+
+// reserveToken returns a token for an observation.
+func (b *backendEdge) reserveToken() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.newToken()
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,243 @@
+// Package daemon wires the decision packages to sockets, links and timers in one
+// entry instance.
+//
+// Concurrency: a pool of workers reads datagrams and works on sharded tables. Lock
+// order, from first to last: membership, scheduler of a service, chooser, issuer,
+// pending dispatches, exchanges, streams, backend exchanges, flow table. Actions of a
+// state machine are executed after its lock is released, so at most one of these locks
+// is held at a time, except that a stream's lock may be held while the flow table is
+// used.
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	randv2 "math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/monsoonthread/monsoonthread/admission"
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/dispatch"
+	"github.com/monsoonthread/monsoonthread/flow"
+	"github.com/monsoonthread/monsoonthread/internal/settings"
+	"github.com/monsoonthread/monsoonthread/internal/timeline"
+	"github.com/monsoonthread/monsoonthread/membership"
+	"github.com/monsoonthread/monsoonthread/peer"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+	"github.com/monsoonthread/monsoonthread/permit"
+	"github.com/monsoonthread/monsoonthread/platform"
+)
+
+const (
+	// jobQueue bounds datagrams that wait for a worker; at 20,000 a second it holds
+	// 200 ms, after which the fabric's datagrams are dropped and callers retransmit.
+	jobQueue = 4096
+	// timelineEvents bounds the event ring: about 200 bytes an event, 0.8 MB.
+	timelineEvents = 4096
+	socketBuffer   = 4 << 20
+)
+
+// Credentials are the transport credentials of gRPC.
+type Credentials struct {
+	Server, Client credentials.TransportCredentials
+}
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings settings.Settings
+	log      zerolog.Logger
+	clock    *timeline.Clock
+	events   *timeline.Ring
+	metrics  *metrics
+	seed     int64
+
+	current config.Current
+	routes  atomic.Pointer[routing]
+
+	members     members
+	schedulers  schedulers
+	chooser     lockedChooser
+	issuer      lockedIssuer
+	retries     lockedBudget
+	pending     *pendingTable
+	exchanges   *exchangeTable
+	flows       *flow.Table
+	streams     *streamTable
+	backends    *backendEdge
+	notices     *serverNotices
+	store       *platform.Store
+	list        *platform.List
+	configFetch chan configSource
+
+	peers  *peer.Transport
+	grpc   *grpc.Server
+	fabric *net.UDPConn
+	answer netip.AddrPort
+	jobs   chan []byte
+
+	life     *lifecycle
+	faults   faults
+	messages atomic.Uint32 // message IDs towards callers
+	wg       sync.WaitGroup
+}
+
+// New returns a daemon that has opened its sockets and does not serve yet.
+func New(s settings.Settings, log zerolog.Logger, creds Credentials) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, clock: timeline.NewClock(time.Now), jobs: make(chan []byte, jobQueue),
+		configFetch: make(chan configSource, 16), seed: int64(s.Seed)}
+	if d.seed == 0 {
+		d.seed = int64(randomUint64())
+	}
+	d.events = timeline.NewRing(d.clock, s.InstanceID, timelineEvents)
+	d.metrics = newMetrics(d)
+	d.life = newLifecycle(d)
+	if err := d.listen(creds); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	self := membership.Instance{ID: s.InstanceID, Domain: s.FailureDomain, PeerAddress: s.PeerAddress,
+		Weight: s.Weight, Incarnation: uint64(now.UnixMilli())}
+	d.members.init(d, self, now)
+	d.schedulers.init(d)
+	d.chooser.chooser = dispatch.NewChooser(dispatch.ChooserConfig{Policy: policyOf(s.DispatchPolicy)}, randv2.New(randv2.NewPCG(uint64(d.seed), 1)))
+	d.retries.budgets = map[uint32]*admission.RetryBudget{}
+	issuer, err := permit.NewIssuer(permit.Config{Lifetime: s.PermitLifetime}, s.InstanceID, self.Incarnation, crand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("create permit issuer: %w", err)
+	}
+	d.issuer.issuer = issuer
+	d.pending = newPendingTable(randomUint64())
+	d.exchanges = newExchangeTable()
+	limiter := newPrefixLimiter(s.NewFlowsPerPrefix, uint64(d.seed), now)
+	d.flows = flow.NewTable(flow.Config{MaxFlows: s.MaxFlows, Limiter: limiter,
+		Clock: func() uint64 { return timeline.Millis(d.clock.Now()) }})
+	d.notices = newServerNotices()
+	d.streams = newStreamTable(d)
+	if d.backends, err = newBackendEdge(d, s.BackendSourceIP); err != nil {
+		return nil, err
+	}
+	d.store = platform.NewStore(platform.StoreConfig{URL: s.StoreURL, Transport: d.platformTransport()})
+	d.list = platform.NewList(platform.ListConfig{URL: s.InstanceListURL, Transport: d.platformTransport()})
+	hello := &peerpb.Hello{Instance: s.InstanceID, Incarnation: self.Incarnation, Domain: s.FailureDomain}
+	d.peers = peer.NewTransport(hello, d.clock, d, creds.Client)
+	d.peers.SetCut(d.faults.cutsDomain)
+	d.messages.Store(uint32(randomUint64()))
+	return d, nil
+}
+
+func (d *Daemon) listen(creds Credentials) error {
+	listen, err := netip.ParseAddrPort(d.settings.FabricListen)
+	if err != nil {
+		return fmt.Errorf("fabric-listen: %w", err)
+	}
+	if d.answer, err = netip.ParseAddrPort(d.settings.FabricAddress); err != nil {
+		return fmt.Errorf("fabric-address: %w", err)
+	}
+	if d.fabric, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen)); err != nil {
+		return fmt.Errorf("listen for the fabric: %w", err)
+	}
+	_ = d.fabric.SetReadBuffer(socketBuffer)
+	d.grpc = grpc.NewServer(peer.ServerOptions(creds.Server)...)
+	peerpb.RegisterPeerServer(d.grpc, &peerService{daemon: d})
+	peerpb.RegisterOperatorServer(d.grpc, &operatorService{daemon: d})
+	return nil
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns nil after a stop that
+// cut no request.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	stopHTTP, err := d.serveHTTP()
+	if err != nil {
+		return err
+	}
+	defer stopHTTP()
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.start(work, func() { _ = d.grpc.Serve(listener) })
+	d.event("instance_started")
+	<-ctx.Done()
+	err = d.stop()
+	cancel()
+	d.peers.Close()
+	d.grpc.Stop()
+	d.fabric.Close()
+	d.backends.close()
+	d.wg.Wait()
+	d.life.fire(triggerStopped)
+	return err
+}
+
+func (d *Daemon) start(ctx context.Context, serve func()) {
+	d.goroutine(serve)
+	for range d.settings.Workers {
+		d.goroutine(func() { d.work(ctx) })
+	}
+	d.goroutine(func() { d.readFabric() })
+	d.goroutine(func() { d.every(ctx, membershipTick, d.tickMembership) })
+	d.goroutine(func() { d.every(ctx, schedulerTick, d.tickSchedulers) })
+	d.goroutine(func() { d.every(ctx, streamTick, d.tickStreams) })
+	d.goroutine(func() { d.every(ctx, listInterval, func(now time.Time) { d.pollList(ctx, now) }) })
+	d.goroutine(func() { d.every(ctx, summaryInterval, d.sendSummaries) })
+	d.goroutine(func() { d.pollHealth(ctx) })
+	d.goroutine(func() { d.watchConfig(ctx) })
+	d.goroutine(func() { d.fetchConfig(ctx) })
+}
+
+func (d *Daemon) goroutine(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// every calls f at the interval until ctx ends.
+func (d *Daemon) every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f(time.Now())
+		}
+	}
+}
+
+// event records a timeline event and logs it.
+func (d *Daemon) event(name string, fields ...timeline.Field) {
+	d.events.Record(name, fields...)
+	line := d.log.Info()
+	for _, f := range fields {
+		line = line.Str(f.Key, f.Value)
+	}
+	line.Msg(name)
+}
+
+// violation counts a broken invariant. Tests read the counter and fail.
+func (d *Daemon) violation(name, detail string) {
+	d.metrics.violations.Inc()
+	d.events.Record("invariant_violated", timeline.Field{Key: "invariant", Value: name})
+	d.log.Error().Str("invariant", name).Str("detail", detail).Msg("invariant_violated")
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // never fails on supported systems
+	return binary.BigEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/internal/daemon/dispatcher.go
@@ -0,0 +1,409 @@
+package daemon
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/admission"
+	"github.com/monsoonthread/monsoonthread/backend"
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/dispatch"
+	"github.com/monsoonthread/monsoonthread/internal/logging"
+	"github.com/monsoonthread/monsoonthread/internal/timeline"
+	"github.com/monsoonthread/monsoonthread/membership"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+	"github.com/monsoonthread/monsoonthread/placement"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	schedulerTick = 10 * time.Millisecond
+	// summaryInterval is the time between summaries to instances that got none with
+	// an answer. A summary is about 30 bytes.
+	summaryInterval = 500 * time.Millisecond
+)
+
+// schedulers holds the scheduler of each service.
+type schedulers struct {
+	daemon *Daemon
+	nextID atomic.Uint64
+
+	mu        sync.RWMutex
+	byService map[uint32]*scheduler
+	owners    map[string]string // last dispatcher of each backend server, by name
+}
+
+// scheduler is the scheduler of one service with its lock.
+type scheduler struct {
+	mu        sync.Mutex
+	scheduler *dispatch.Scheduler
+	service   *service
+	states    map[string]string // last reported state by backend server
+}
+
+// dispatchJob is a request at its dispatcher.
+type dispatchJob struct {
+	from    string // the holder or issuer
+	id      uint64 // the sender's ID
+	request []byte
+	service *service
+}
+
+func (s *schedulers) init(d *Daemon) {
+	s.daemon = d
+	s.byService = map[uint32]*scheduler{}
+	s.owners = map[string]string{}
+}
+
+func (s *schedulers) get(service uint32) *scheduler {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byService[service]
+}
+
+func (s *schedulers) all() []*scheduler {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]*scheduler, 0, len(s.byService))
+	for _, sch := range s.byService {
+		list = append(list, sch)
+	}
+	return list
+}
+
+// with runs f under the scheduler's lock and then executes the actions it returns.
+func (s *schedulers) with(sch *scheduler, f func(*dispatch.Scheduler) []dispatch.Action) {
+	sch.mu.Lock()
+	actions := f(sch.scheduler)
+	sch.mu.Unlock()
+	s.daemon.perform(sch, actions)
+}
+
+// each runs f on every scheduler.
+func (s *schedulers) each(f func(*dispatch.Scheduler) []dispatch.Action) {
+	for _, sch := range s.all() {
+		s.with(sch, f)
+	}
+}
+
+// update computes the dispatcher of each backend server and the candidates of each
+// service from a new routing snapshot.
+func (s *schedulers) update(r *routing, now time.Time) {
+	self := s.daemon.settings.InstanceID
+	for id, svc := range r.byID {
+		sch := s.ensure(svc, now)
+		owned, candidates := s.assign(r, svc, self)
+		s.with(sch, func(d *dispatch.Scheduler) []dispatch.Action { return d.SetOwned(now, owned, r.view.Version) })
+		s.daemon.chooser.setCandidates(id, candidates)
+	}
+	s.removeStale(r, now)
+}
+
+func (s *schedulers) ensure(svc *service, now time.Time) *scheduler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sch := s.byService[svc.ID]
+	if sch == nil {
+		sch = &scheduler{scheduler: dispatch.NewScheduler(dispatch.Config{}, *svc.Service, now), states: map[string]string{}}
+		s.byService[svc.ID] = sch
+	}
+	if sch.service != svc {
+		sch.mu.Lock()
+		sch.service = svc
+		sch.scheduler.SetService(*svc.Service)
+		sch.mu.Unlock()
+	}
+	return sch
+}
+
+// assign returns the servers of a service that this instance dispatches, and the
+// instances that dispatch any.
+func (s *schedulers) assign(r *routing, svc *service, self string) (owned []dispatch.Assignment, candidates []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := map[string]bool{}
+	for i := range svc.BackendServers {
+		b := &svc.BackendServers[i]
+		owner, ok := r.view.Dispatcher(b.Domain, b.Name)
+		if !ok {
+			continue
+		}
+		if !seen[owner.ID] && reaches(r.view, owner.Domain) {
+			seen[owner.ID] = true
+			candidates = append(candidates, owner.ID)
+		}
+		previous := s.owners[b.Name]
+		s.owners[b.Name] = owner.ID
+		if owner.ID != self {
+			continue
+		}
+		if previous == "" || previous == self {
+			previous = previousDispatcher(r, b, self)
+		}
+		owned = append(owned, dispatch.Assignment{Server: *b, Previous: previous})
+	}
+	return owned, candidates
+}
+
+// previousDispatcher returns the instance that would dispatch the server without this
+// one: the one that did so until this instance joined.
+func previousDispatcher(r *routing, b *config.BackendServer, self string) string {
+	for i := range r.view.Domains {
+		dom := &r.view.Domains[i]
+		if dom.Name != b.Domain {
+			continue
+		}
+		var others []placement.Member
+		for _, e := range dom.Members {
+			if e.ID != self && (e.State == membership.Alive || e.State == membership.Suspect) {
+				others = append(others, placement.NewMember(e.ID, e.Weight))
+			}
+		}
+		if k := placement.Pick(placement.Key("server", b.Name), others); k >= 0 {
+			return others[k].ID
+		}
+	}
+	return ""
+}
+
+func reaches(v *membership.View, domain string) bool {
+	for i := range v.Domains {
+		if v.Domains[i].Name == domain {
+			return v.Domains[i].Reachable
+		}
+	}
+	return false
+}
+
+// removeStale releases the servers of services that left the configuration.
+func (s *schedulers) removeStale(r *routing, now time.Time) {
+	s.mu.Lock()
+	var stale []*scheduler
+	for id, sch := range s.byService {
+		if r.byID[id] == nil {
+			stale = append(stale, sch)
+			delete(s.byService, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, sch := range stale {
+		s.with(sch, func(d *dispatch.Scheduler) []dispatch.Action { return d.Drain(now) })
+	}
+}
+
+// handleDispatch accepts a request from a holder or issuer.
+func (d *Daemon) handleDispatch(from string, in *peerpb.Dispatch) {
+	now := time.Now()
+	job := &dispatchJob{from: from, id: in.Id, request: in.Request}
+	r := d.routes.Load()
+	if r == nil {
+		d.refuseJob(job, nil, result.Errorf(result.NoConfiguration, "no configuration is in force"), 0)
+		return
+	}
+	job.service = r.byID[in.ServiceId]
+	address, _ := addrPortOf(in.ServiceAddress)
+	if job.service == nil || job.service.Address != address {
+		d.refuseJob(job, nil, result.Errorf(result.WrongService, "service %d does not own its address in version %d", in.ServiceId, r.config.Version), 0)
+		return
+	}
+	sch := d.schedulers.get(in.ServiceId)
+	if sch == nil || d.members.fenced(now) {
+		d.refuseJob(job, sch, result.Errorf(result.Fenced, "this instance is rejoining"), 0)
+		return
+	}
+	item := admission.Item{ID: d.schedulers.nextID.Add(1), Class: classOf(in.Class), CallerHash: in.CallerHash, Arrived: now,
+		Deadline: now.Add(time.Duration(in.DeadlineMs) * time.Millisecond), Retry: in.Retry, Preferred: in.PreferredServer, Payload: job}
+	d.schedulers.with(sch, func(s *dispatch.Scheduler) []dispatch.Action {
+		return s.Submit(now, dispatch.Request{Item: item, Idempotent: in.Idempotent})
+	})
+}
+
+func classOf(v uint32) config.Class {
+	if v >= uint32(config.NumClasses) {
+		return config.Normal
+	}
+	return config.Class(v)
+}
+
+// perform executes the actions of a scheduler.
+func (d *Daemon) perform(sch *scheduler, actions []dispatch.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.Run:
+			d.runOnServer(sch, a)
+		case dispatch.Refuse:
+			if job, ok := a.Payload.(*dispatchJob); ok {
+				d.refuseJob(job, sch, a.Err, a.RetryAfter)
+			}
+		case dispatch.AskHandover:
+			d.sendTo(a.To, &peerpb.Envelope{Body: &peerpb.Envelope_HandoverRequest{HandoverRequest: &peerpb.HandoverRequest{Servers: a.Servers}}})
+		case dispatch.SendHandoverDone:
+			d.sendTo(a.To, &peerpb.Envelope{Body: &peerpb.Envelope_HandoverDone{HandoverDone: &peerpb.HandoverDone{Server: a.Server, Ended: a.Ended}}})
+		case dispatch.CancelRun:
+			d.backends.cancel(a.Grant)
+		case dispatch.Event:
+			d.event(a.Name, append([]timeline.Field{{Key: logging.Server, Value: a.Server}}, fieldsOf(a.Fields)...)...)
+		}
+	}
+}
+
+// fieldsOf splits key=value pairs.
+func fieldsOf(in []string) []timeline.Field {
+	out := make([]timeline.Field, len(in))
+	for i, f := range in {
+		out[i].Key, out[i].Value, _ = strings.Cut(f, "=")
+	}
+	return out
+}
+
+// runOnServer sends a granted request to its backend server. The fence is checked at
+// the last moment, because the process may have been paused since the grant.
+func (d *Daemon) runOnServer(sch *scheduler, run dispatch.Run) {
+	job, ok := run.Request.Payload.(*dispatchJob)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	finish := func(o backend.Outcome, out outcome) {
+		took := time.Since(now)
+		// The slot is released before the answer leaves, so that the summary with the
+		// answer counts it as free.
+		d.schedulers.with(sch, func(s *dispatch.Scheduler) []dispatch.Action {
+			return s.Finish(time.Now(), run.Grant, o, took)
+		})
+		d.answerJob(job, sch, out)
+	}
+	if d.members.fenced(now) {
+		finish(backend.Shed, outcome{err: result.Errorf(result.Fenced, "this instance is rejoining")})
+		return
+	}
+	d.backends.run(run, job, finish)
+}
+
+// refuseJob answers a holder or issuer that the request did not run.
+func (d *Daemon) refuseJob(job *dispatchJob, sch *scheduler, err error, retryAfter time.Duration) {
+	d.answerJob(job, sch, outcome{err: err, retryAfter: retryAfter})
+}
+
+// answerJob sends the outcome of a request to the instance that asked for it, with a
+// summary of this dispatcher's load.
+func (d *Daemon) answerJob(job *dispatchJob, sch *scheduler, o outcome) {
+	res := &peerpb.DispatchResult{Id: job.id, Response: o.response, Server: o.server, Code: uint32(result.CodeOf(o.err)),
+		RetryAfterMs: uint32(o.retryAfter.Milliseconds())}
+	if sch != nil {
+		sch.mu.Lock()
+		res.Summary = sch.scheduler.Summary(time.Now())
+		sch.mu.Unlock()
+	}
+	if job.from == d.settings.InstanceID {
+		d.handleDispatchResult(job.from, res)
+		return
+	}
+	d.sendTo(job.from, &peerpb.Envelope{Body: &peerpb.Envelope_DispatchResult{DispatchResult: res}})
+	d.summariesSent(job.from)
+}
+
+// tickSchedulers advances time in every scheduler and reports changes of backend
+// servers to the holders of streams.
+func (d *Daemon) tickSchedulers(now time.Time) {
+	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.Tick(now) })
+	for _, sch := range d.schedulers.all() {
+		d.reportStates(sch, now)
+	}
+}
+
+// reportStates sends a notice for each backend server whose state changed.
+func (d *Daemon) reportStates(sch *scheduler, now time.Time) {
+	sch.mu.Lock()
+	var changed []*peerpb.ServerStatus
+	for _, st := range sch.scheduler.Status(now) {
+		if st.Role == roleOwner && sch.states[st.Name] != st.State {
+			sch.states[st.Name] = st.State
+			changed = append(changed, st)
+		}
+	}
+	sch.mu.Unlock()
+	for _, st := range changed {
+		d.event("backend_server_state", timeline.Field{Key: logging.Server, Value: st.Name}, timeline.Field{Key: logging.State, Value: st.State})
+		notice := &peerpb.ServerNotice{Server: st.Name, Available: serverAvailable(st.State), Draining: st.State == backend.Draining.String()}
+		d.notices.set(notice)
+		d.broadcast(func() *peerpb.Envelope {
+			return &peerpb.Envelope{Body: &peerpb.Envelope_ServerNotice{ServerNotice: notice}}
+		})
+	}
+}
+
+// roleOwner is the role of the instance that dispatches a server.
+const roleOwner = "owner"
+
+func serverAvailable(state string) bool {
+	return state != backend.Draining.String() && state != backend.Out.String()
+}
+
+// handleHandoverRequest releases servers to the instance that dispatches them now.
+func (d *Daemon) handleHandoverRequest(from string, in *peerpb.HandoverRequest) {
+	now := time.Now()
+	reply := &peerpb.HandoverReply{}
+	for _, sch := range d.schedulers.all() {
+		names := ownServers(sch, in.Servers)
+		if len(names) == 0 {
+			continue
+		}
+		d.schedulers.with(sch, func(s *dispatch.Scheduler) []dispatch.Action {
+			actions, released := s.HandoverRequest(now, from, names)
+			reply.Servers = append(reply.Servers, released...)
+			return actions
+		})
+	}
+	d.sendTo(from, &peerpb.Envelope{Body: &peerpb.Envelope_HandoverReply{HandoverReply: reply}})
+}
+
+// ownServers returns the names that belong to the scheduler's service.
+func ownServers(sch *scheduler, names []string) []string {
+	sch.mu.Lock()
+	defer sch.mu.Unlock()
+	known := map[string]bool{}
+	for i := range sch.service.BackendServers {
+		known[sch.service.BackendServers[i].Name] = true
+	}
+	var own []string
+	for _, n := range names {
+		if known[n] {
+			own = append(own, n)
+		}
+	}
+	return own
+}
+
+func (d *Daemon) handleHandoverReply(from string, in *peerpb.HandoverReply) {
+	now := time.Now()
+	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.HandoverReply(now, from, in.Servers) })
+}
+
+func (d *Daemon) handleHandoverDone(in *peerpb.HandoverDone) {
+	now := time.Now()
+	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.HandoverDone(now, in.Server, in.Ended) })
+}
+
+// sendSummaries sends the load of this dispatcher to instances that did not get it
+// with an answer lately.
+func (d *Daemon) sendSummaries(now time.Time) {
+	r := d.routes.Load()
+	if r == nil {
+		return
+	}
+	for _, sch := range d.schedulers.all() {
+		sch.mu.Lock()
+		summary := sch.scheduler.Summary(now)
+		sch.mu.Unlock()
+		if summary.TotalSlots == 0 {
+			continue
+		}
+		d.chooser.observe(now, d.settings.InstanceID, summary)
+		for _, e := range d.idlePeers(r, now) {
+			_ = d.peers.Send(addressOf(e), &peerpb.Envelope{Body: &peerpb.Envelope_Summary{Summary: summary}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/exchange_test.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// Guards against a retransmission that runs twice, and against answers that grow the
+// table without bound.
+func TestExchangeTable(t *testing.T) {
+	table := newExchangeTable()
+	now := time.Unix(1000, 0)
+	key := exchangeKey{caller: netip.MustParseAddrPort("127.0.0.1:1000"), service: 1, id: 7}
+	if duplicate, _ := table.begin(key, now); duplicate {
+		t.Fatal("first copy is a duplicate")
+	}
+	if duplicate, answer := table.begin(key, now); !duplicate || answer != nil {
+		t.Fatal("retransmission of a running request is not recognised")
+	}
+	table.complete(key, []byte("answer"), now)
+	if duplicate, answer := table.begin(key, now.Add(time.Second)); !duplicate || string(answer) != "answer" {
+		t.Fatal("recorded answer is not replayed")
+	}
+	if duplicate, _ := table.begin(key, now.Add(exchangeLifetime)); duplicate {
+		t.Fatal("message ID is still taken after the lifetime")
+	}
+	for i := range 5000 {
+		k := exchangeKey{caller: key.caller, service: 2, id: uint16(i)}
+		table.begin(k, now)
+		table.complete(k, make([]byte, 1024), now)
+	}
+	s := table.shard(key)
+	if len(s.entries) > maxExchanges+1 || s.bytes > maxExchangeBytes {
+		t.Fatalf("shard holds %d exchanges and %d bytes", len(s.entries), s.bytes)
+	}
+	if len(s.order) > 2*maxExchanges {
+		t.Fatalf("order holds %d keys", len(s.order))
+	}
+}
--- /dev/null
+++ b/internal/daemon/handover.go
@@ -0,0 +1,325 @@
+package daemon
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/flow"
+	"github.com/monsoonthread/monsoonthread/internal/logging"
+	"github.com/monsoonthread/monsoonthread/internal/timeline"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+)
+
+// tickStreams resends notifications, retries registrations, copies records to the
+// runner-up and moves streams that a change concerns.
+func (d *Daemon) tickStreams(now time.Time) {
+	r := d.routes.Load()
+	if r == nil {
+		return
+	}
+	t := d.streams
+	t.resend(now)
+	t.retry(now)
+	t.expireLeaving(now)
+	t.handOver(r, now)
+	t.copyRecords(r, now)
+	t.move(r, now)
+	d.issuer.expire(now)
+}
+
+// resend repeats unacknowledged notifications and ends streams whose caller is gone.
+func (t *streamTable) resend(now time.Time) {
+	var due, gone []*stream
+	t.mu.Lock()
+	for _, st := range t.unacked {
+		st.mu.Lock()
+		if st.unacked != nil && now.After(st.resendAt) {
+			if st.attempts >= notifyAttempts {
+				gone = append(gone, st)
+			} else {
+				due = append(due, st)
+				st.attempts++
+				st.resendAt = now.Add(notifyTimeout << st.attempts / 2)
+			}
+		}
+		st.mu.Unlock()
+	}
+	t.mu.Unlock()
+	for _, st := range due {
+		st.mu.Lock()
+		m := st.unacked
+		st.mu.Unlock()
+		if svc := t.daemon.routes.Load().byID[st.key.ServiceID]; svc != nil && m != nil {
+			t.daemon.send(svc, st.key.Caller, m)
+		}
+	}
+	for _, st := range gone {
+		t.daemon.metrics.callersGone.Inc()
+		t.end(st)
+	}
+}
+
+// retry registers streams again that no backend server accepted.
+func (t *streamTable) retry(now time.Time) {
+	var due []*stream
+	t.mu.Lock()
+	for st := range t.retrying {
+		st.mu.Lock()
+		if now.After(st.retryAt) {
+			due = append(due, st)
+			delete(t.retrying, st)
+		}
+		st.mu.Unlock()
+	}
+	t.mu.Unlock()
+	for _, st := range due {
+		t.establish(st)
+	}
+}
+
+// expireLeaving drops handed-over streams whose new holder did not confirm in time.
+func (t *streamTable) expireLeaving(now time.Time) {
+	var expired []*stream
+	t.mu.Lock()
+	for st := range t.leaving {
+		st.mu.Lock()
+		if now.After(st.leavingUntil) {
+			expired = append(expired, st)
+		}
+		st.mu.Unlock()
+	}
+	t.mu.Unlock()
+	for _, st := range expired {
+		t.daemon.metrics.handoverTimeouts.Inc()
+		t.release(st)
+	}
+}
+
+// handOver passes streams to their new holder. The old observation keeps feeding the
+// caller until the new holder confirms.
+func (t *streamTable) handOver(r *routing, now time.Time) {
+	d := t.daemon
+	if !t.takeReplan() {
+		return
+	}
+	moved := d.flows.HandOver(now, handoverBatch, func(k flow.Key) string {
+		holder, ok := r.view.Holder(k.Hash())
+		if !ok || holder.ID == d.settings.InstanceID {
+			return ""
+		}
+		return holder.ID
+	})
+	count := 0
+	for to, records := range moved {
+		count += len(records)
+		for i := range records {
+			t.markLeaving(records[i], now)
+		}
+		d.sendTo(to, copiesEnvelope(records, true))
+	}
+	if count > 0 {
+		d.event("streams_handed_over", timeline.Field{Key: logging.Count, Value: itoa(count)})
+		t.requestReplan() // more may be left
+	}
+}
+
+func (t *streamTable) markLeaving(rec flow.Record, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.byID[rec.ID]
+	if st == nil {
+		return
+	}
+	delete(t.byID, rec.ID)
+	t.leaving[st] = struct{}{}
+	st.mu.Lock()
+	st.leavingUntil = now.Add(handoverTimeout)
+	st.id = 0
+	st.mu.Unlock()
+}
+
+func (t *streamTable) requestReplan() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.replan = true
+}
+
+func (t *streamTable) takeReplan() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was := t.replan
+	t.replan = false
+	return was
+}
+
+// copyRecords sends records to the runner-up within the budget.
+func (t *streamTable) copyRecords(r *routing, now time.Time) {
+	d := t.daemon
+	copies := d.flows.Copies(now, func(k flow.Key) string {
+		e, ok := r.view.RunnerUp(k.Hash())
+		if !ok || e.ID == d.settings.InstanceID {
+			return ""
+		}
+		return e.ID
+	}, d.settings.CopyBudget)
+	for to, records := range copies {
+		d.sendTo(to, copiesEnvelope(records, false))
+	}
+}
+
+// move registers streams with the backend server that is computed for them now. A
+// stream on another available server stays there, so that only streams of a leaving
+// or lost server move.
+func (t *streamTable) move(r *routing, now time.Time) {
+	d := t.daemon
+	moves := d.flows.PlanMoves(now, func(rec flow.Record) string {
+		if rec.Server == "" {
+			return ""
+		}
+		if server := r.servers[rec.Server]; server != nil && !server.Leaving && !d.notices.unavailable(rec.Server) {
+			return rec.Server
+		}
+		svc := r.byID[rec.ServiceID]
+		if svc == nil {
+			return ""
+		}
+		return t.computedServer(svc, rec.Key.Hash(), nil)
+	}, movesPerTick)
+	for _, mv := range moves {
+		t.mu.Lock()
+		st := t.byID[mv.ID]
+		t.mu.Unlock()
+		if st != nil {
+			t.establish(st)
+		}
+	}
+}
+
+// takeOver continues the streams of a dead holder from their copies.
+func (t *streamTable) takeOver(r *routing, dead string, now time.Time) {
+	d := t.daemon
+	records := d.flows.TakeOver(now, dead)
+	if len(records) == 0 {
+		return
+	}
+	d.event("streams_taken_over", timeline.Field{Key: logging.Peer, Value: dead}, timeline.Field{Key: logging.Count, Value: itoa(len(records))})
+	elsewhere := map[string][]flow.Record{}
+	for _, rec := range records {
+		holder, ok := r.view.Holder(rec.Key.Hash())
+		if ok && holder.ID != d.settings.InstanceID {
+			elsewhere[holder.ID] = append(elsewhere[holder.ID], rec)
+			continue
+		}
+		t.adopt(rec, "")
+	}
+	for to, list := range elsewhere {
+		d.sendTo(to, copiesEnvelope(list, true))
+	}
+}
+
+// adopt continues a stream here; from is the old holder that waits for a confirmation.
+func (t *streamTable) adopt(rec flow.Record, from string) {
+	if st := t.find(streamKey{rec.Key, string(rec.Token)}); st != nil && !st.isLeaving() {
+		if from != "" {
+			t.confirmHandover(st, from) // the caller has registered again already
+		}
+		return
+	}
+	st, err := t.add(rec, nil)
+	if err != nil {
+		t.daemon.violation("adopted_stream_fits", err.Error())
+		return
+	}
+	st.mu.Lock()
+	st.adopted = from
+	st.prefer = rec.Server
+	if st.sequence == 0 {
+		st.sequence = 1 // established before; see exhausted
+	}
+	st.mu.Unlock()
+	t.establish(st)
+}
+
+// confirmHandover tells the old holder that this instance feeds the stream now.
+func (t *streamTable) confirmHandover(st *stream, to string) {
+	rec := flow.Record{Key: st.key, Token: st.token, Removed: true}
+	t.daemon.sendTo(to, copiesEnvelope([]flow.Record{rec}, true))
+}
+
+// handleFlowCopies stores copies, continues handed-over streams, or ends those that
+// the new holder confirmed.
+func (d *Daemon) handleFlowCopies(from string, in *peerpb.FlowCopies) {
+	now := time.Now()
+	var copies []flow.Record
+	for _, pb := range in.Records {
+		rec, ok := recordOf(pb, now)
+		switch {
+		case !ok:
+			d.log.Warn().Str(logging.Peer, from).Msg("flow_record_malformed")
+		case in.Handover && rec.Removed:
+			d.streams.confirmed(streamKey{rec.Key, string(rec.Token)})
+		case in.Handover:
+			d.streams.adopt(rec, from)
+		default:
+			copies = append(copies, rec)
+		}
+	}
+	if len(copies) > 0 {
+		d.flows.StoreCopies(now, from, copies)
+	}
+}
+
+// confirmed ends the old observation of a handed-over stream.
+func (t *streamTable) confirmed(k streamKey) {
+	t.mu.Lock()
+	var st *stream
+	for s := range t.leaving {
+		if s.keyOf() == k {
+			st = s
+			break
+		}
+	}
+	t.mu.Unlock()
+	if st != nil {
+		t.release(st)
+	}
+}
+
+func (s *stream) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leavingUntil.IsZero()
+}
+
+// active returns the streams that still depend on this instance.
+func (t *streamTable) active() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID) + len(t.leaving)
+}
+
+func copiesEnvelope(records []flow.Record, handover bool) *peerpb.Envelope {
+	out := &peerpb.FlowCopies{Handover: handover, Records: make([]*peerpb.FlowRecord, len(records))}
+	for i, rec := range records {
+		caller, _ := rec.Caller.MarshalBinary()
+		pb := &peerpb.FlowRecord{Caller: caller, ServiceId: rec.ServiceID, Token: rec.Token, Request: rec.Request,
+			Sequence: rec.Sequence, Removed: rec.Removed}
+		if rec.Exception {
+			pb.Server = rec.Server
+		}
+		if !rec.Created.IsZero() {
+			pb.AgeS = uint32(max(time.Since(rec.Created).Seconds(), 0))
+		}
+		out.Records[i] = pb
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_FlowCopies{FlowCopies: out}}
+}
+
+func recordOf(pb *peerpb.FlowRecord, now time.Time) (flow.Record, bool) {
+	var caller netip.AddrPort
+	if pb == nil || caller.UnmarshalBinary(pb.Caller) != nil || !caller.IsValid() || len(pb.Token) > flow.MaxToken {
+		return flow.Record{}, false
+	}
+	return flow.Record{Key: flow.Key{Caller: caller, ServiceID: pb.ServiceId}, Token: pb.Token, Request: pb.Request, Server: pb.Server,
+		Exception: pb.Server != "", Sequence: pb.Sequence, Created: now.Add(-time.Duration(pb.AgeS) * time.Second), Removed: pb.Removed}, true
+}
--- /dev/null
+++ b/internal/daemon/notices.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/backend"
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/dispatch"
+	"github.com/monsoonthread/monsoonthread/edge"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+)
+
+// serverNotices holds what other instances and the list say about backend servers,
+// for the choice of a stream's server.
+type serverNotices struct {
+	mu        sync.RWMutex
+	down      map[string]bool
+	listed    map[string]bool // leaving according to the list
+	summaries map[string]time.Time
+}
+
+func newServerNotices() *serverNotices {
+	return &serverNotices{down: map[string]bool{}, listed: map[string]bool{}, summaries: map[string]time.Time{}}
+}
+
+func (n *serverNotices) set(notice *peerpb.ServerNotice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if notice.Available {
+		delete(n.down, notice.Server)
+		return
+	}
+	n.down[notice.Server] = true
+}
+
+// setListed records the list's state and reports whether it changed.
+func (n *serverNotices) setListed(name string, leaving bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listed[name] == leaving {
+		return false
+	}
+	if leaving {
+		n.listed[name] = true
+	} else {
+		delete(n.listed, name)
+	}
+	return true
+}
+
+// leaving returns the servers that the list shows as leaving.
+func (n *serverNotices) leaving() []string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	names := make([]string, 0, len(n.listed))
+	for name := range n.listed {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (n *serverNotices) unavailable(name string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.down[name] || n.listed[name]
+}
+
+func (n *serverNotices) summarySent(to string, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.summaries[to] = now
+}
+
+// summaryDue reports whether an instance got no summary for an interval.
+func (n *serverNotices) summaryDue(to string, now time.Time) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return now.Sub(n.summaries[to]) >= summaryInterval
+}
+
+// pollHealth queries the health of the servers that this instance dispatches.
+func (d *Daemon) pollHealth(ctx context.Context) {
+	d.every(ctx, d.settings.HealthInterval, func(now time.Time) {
+		for _, sch := range d.schedulers.all() {
+			for _, server := range d.ownedServers(sch, now) {
+				if server.HealthPath != "" {
+					d.queryHealth(sch, server)
+				}
+			}
+		}
+	})
+}
+
+// ownedServers returns the configuration of the servers that this instance dispatches.
+func (d *Daemon) ownedServers(sch *scheduler, now time.Time) []config.BackendServer {
+	r := d.routes.Load()
+	sch.mu.Lock()
+	defer sch.mu.Unlock()
+	var servers []config.BackendServer
+	for _, st := range sch.scheduler.Status(now) {
+		if server := r.servers[st.Name]; server != nil && st.Role == roleOwner {
+			servers = append(servers, *server)
+		}
+	}
+	return servers
+}
+
+func (d *Daemon) queryHealth(sch *scheduler, server config.BackendServer) {
+	d.backends.query(server, server.HealthPath, func(answer *edge.Message) {
+		health := healthOf(answer)
+		d.schedulers.with(sch, func(s *dispatch.Scheduler) []dispatch.Action {
+			return s.Health(time.Now(), server.Name, health)
+		})
+	})
+}
+
+func healthOf(answer *edge.Message) backend.Health {
+	switch {
+	case answer == nil || answer.Type == edge.Reset:
+		return backend.HealthUnreachable
+	case !answer.Code.IsSuccess():
+		return backend.HealthFailing
+	case strings.HasPrefix(string(answer.Payload), "draining"):
+		return backend.HealthDraining
+	case strings.HasPrefix(string(answer.Payload), "ok"):
+		return backend.HealthOK
+	default:
+		return backend.HealthFailing
+	}
+}
--- /dev/null
+++ b/internal/daemon/requests.go
@@ -0,0 +1,445 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/admission"
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/dispatch"
+	"github.com/monsoonthread/monsoonthread/membership"
+	"github.com/monsoonthread/monsoonthread/peer"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+	"github.com/monsoonthread/monsoonthread/permit"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	// answerGrace is added to a request's deadline before its dispatcher counts as
+	// lost: the dispatcher itself answers at the deadline.
+	answerGrace = 500 * time.Millisecond
+	// maxAttempts bounds the dispatchers tried for one request.
+	maxAttempts = 4
+	// minRetryTime is the least time before the deadline at which a retry is useful.
+	minRetryTime = 5 * time.Millisecond
+)
+
+// request is a caller's request on its way to a dispatcher.
+type request struct {
+	service    *service
+	class      config.Class
+	idempotent bool
+	flowHash   uint64
+	arrived    time.Time
+	deadline   time.Time
+	preferred  string
+	bytes      []byte // CoAP message without token, message ID and Echo
+	done       func(outcome)
+
+	excluded []string // instances that refused or were lost
+	attempts int
+	retry    bool
+	// mayHaveRun is set once an attempt ended without certainty; from then on the
+	// request is never refused as "not run".
+	mayHaveRun bool
+}
+
+// outcome is how a request ended: a response, or an error with a result code.
+type outcome struct {
+	response   []byte
+	server     string
+	err        error
+	retryAfter time.Duration
+}
+
+// fail ends a request without a response. A certain "not run" of the last attempt
+// does not outweigh an earlier attempt that may have run.
+func (r *request) fail(err error, retryAfter time.Duration) {
+	if r.mayHaveRun && result.CodeOf(err).NotRun() {
+		err = result.Errorf(result.OutcomeUnknown, "outcome unknown: an earlier attempt may have run; the last one ended with %w", err)
+	}
+	r.done(outcome{err: err, retryAfter: retryAfter})
+}
+
+func answerOf(o outcome) permit.Answer {
+	if o.err != nil {
+		return permit.Answer{Code: result.CodeOf(o.err)}
+	}
+	return permit.Answer{Response: o.response}
+}
+
+func outcomeOf(a permit.Answer) outcome {
+	if a.Code != result.OK {
+		return outcome{err: result.Errorf(a.Code, "answer of the first copy")}
+	}
+	return outcome{response: a.Response}
+}
+
+// pendingDispatch is a request that a dispatcher has been asked to run.
+type pendingDispatch struct {
+	request *request
+	to      string
+	timer   *time.Timer
+}
+
+// pendingTable holds the requests that wait for a dispatcher's answer.
+type pendingTable struct {
+	mu      sync.Mutex
+	nextID  uint64
+	entries map[uint64]*pendingDispatch
+}
+
+// newPendingTable starts at a random ID, so that a late answer to an earlier process
+// with the same instance ID matches nothing.
+func newPendingTable(firstID uint64) *pendingTable {
+	return &pendingTable{nextID: firstID, entries: map[uint64]*pendingDispatch{}}
+}
+
+// add registers a request; expire is called when no answer came in time.
+func (t *pendingTable) add(p *pendingDispatch, timeout time.Duration, expire func(id uint64)) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextID++
+	id := t.nextID
+	p.timer = time.AfterFunc(timeout, func() { expire(id) })
+	t.entries[id] = p
+	return id
+}
+
+// take removes a request, so that exactly one event decides how it ends.
+func (t *pendingTable) take(id uint64) (*pendingDispatch, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.entries[id]
+	if ok {
+		delete(t.entries, id)
+		p.timer.Stop()
+	}
+	return p, ok
+}
+
+// to returns the IDs of the requests at one dispatcher.
+func (t *pendingTable) to(instance string) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []uint64
+	for id, p := range t.entries {
+		if p.to == instance {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (t *pendingTable) len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
+// dispatchRequest chooses a dispatcher and sends the request to it.
+func (d *Daemon) dispatchRequest(req *request, now time.Time) {
+	if !req.retry {
+		d.retries.first(req.service.ID, now)
+	}
+	r := d.routes.Load()
+	to, ok := d.chooser.choose(now, req.service.ID, req.excluded, d.preferredDispatcher(r, req))
+	if !ok {
+		req.fail(result.Errorf(result.NoBackendServer, "no dispatcher of service %s can be reached", req.service.Name), time.Second)
+		return
+	}
+	req.attempts++
+	pending := &pendingDispatch{request: req, to: to}
+	id := d.pending.add(pending, req.deadline.Sub(now)+answerGrace, d.dispatchExpired)
+	d.chooser.sent(req.service.ID, to)
+	msg := d.dispatchMessage(r, req, id, now)
+	if to == d.settings.InstanceID {
+		d.handleDispatch(to, msg)
+		return
+	}
+	entry, ok := r.view.Member(to)
+	if ok {
+		err := d.peers.Send(addressOf(entry), &peerpb.Envelope{Body: &peerpb.Envelope_Dispatch{Dispatch: msg}})
+		if err == nil {
+			return
+		}
+	}
+	d.dispatchFailed(id, result.Errorf(result.PeerUnreachable, "dispatcher %s cannot be reached", to), 0)
+}
+
+// preferredDispatcher returns the dispatcher of the request's preferred server, "" if
+// there is none.
+func (d *Daemon) preferredDispatcher(r *routing, req *request) string {
+	if req.preferred == "" || r == nil {
+		return ""
+	}
+	server := r.servers[req.preferred]
+	if server == nil {
+		return ""
+	}
+	e, ok := r.view.Dispatcher(server.Domain, server.Name)
+	if !ok {
+		return ""
+	}
+	return e.ID
+}
+
+func (d *Daemon) dispatchMessage(r *routing, req *request, id uint64, now time.Time) *peerpb.Dispatch {
+	address, _ := req.service.Address.MarshalBinary()
+	return &peerpb.Dispatch{Id: id, ServiceId: req.service.ID, ServiceAddress: address, ConfigVersion: r.config.Version,
+		Class: uint32(req.class), DeadlineMs: uint32(max(req.deadline.Sub(now).Milliseconds(), 0)), Idempotent: req.idempotent,
+		PreferredServer: req.preferred, CallerHash: req.flowHash, Request: req.bytes, Retry: req.retry, ViewVersion: r.view.Version}
+}
+
+// dispatchExpired ends a request whose dispatcher did not answer. It may have run.
+func (d *Daemon) dispatchExpired(id uint64) {
+	d.dispatchFailed(id, result.Errorf(result.BackendTimeout, "outcome unknown: no answer before the deadline"), 0)
+}
+
+// dispatchFailed ends an attempt without a response and tries another dispatcher
+// where that is allowed.
+func (d *Daemon) dispatchFailed(id uint64, err error, retryAfter time.Duration) {
+	p, ok := d.pending.take(id)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	req := p.request
+	code := result.CodeOf(err)
+	req.mayHaveRun = req.mayHaveRun || !code.NotRun()
+	if !d.mayRetry(req, code, now) {
+		req.fail(err, retryAfter)
+		return
+	}
+	d.metrics.retries.Inc()
+	req.retry = true
+	req.excluded = append(req.excluded, p.to)
+	d.dispatchRequest(req, now)
+}
+
+// mayRetry reports whether another dispatcher may get the request. A request that may
+// have run is only repeated when it is idempotent.
+func (d *Daemon) mayRetry(req *request, code result.Code, now time.Time) bool {
+	if !code.NotRun() && !req.idempotent {
+		return false
+	}
+	if code == result.BackendTimeout || code == result.DeadlineUnmet || req.attempts >= maxAttempts || req.deadline.Sub(now) < minRetryTime {
+		return false
+	}
+	// A dispatcher that is no longer one, or is stopping, refused because of a planned
+	// change; such retries do not spend the budget, or a change would cut requests.
+	if code == result.NotDispatcher || code == result.ShuttingDown || code == result.PeerUnreachable {
+		return true
+	}
+	return d.retries.retry(req.service.ID, now)
+}
+
+// handleDispatchResult processes a dispatcher's answer.
+func (d *Daemon) handleDispatchResult(from string, res *peerpb.DispatchResult) {
+	now := time.Now()
+	if res.Summary != nil {
+		d.chooser.observe(now, from, res.Summary)
+	}
+	code := result.Code(res.Code)
+	if code != result.OK {
+		if code == result.NotDispatcher || code == result.ShuttingDown {
+			d.chooser.failed(now, res.GetSummary().GetServiceId(), from)
+		}
+		d.dispatchFailed(res.Id, result.Errorf(code, "%s: dispatcher %s", describe(code), from), time.Duration(res.RetryAfterMs)*time.Millisecond)
+		return
+	}
+	if p, ok := d.pending.take(res.Id); ok {
+		p.request.done(outcome{response: res.Response, server: res.Server})
+		return
+	}
+	d.metrics.lateAnswers.Inc()
+}
+
+// describe returns the short text of the result codes that travel between instances.
+func describe(c result.Code) string {
+	switch {
+	case c == result.DeadlineUnmet:
+		return "not run: the deadline cannot be met"
+	case c == result.QueueFull, c == result.QueueShareExceeds:
+		return "not run: the queue is full"
+	case c.NotRun():
+		return "not run"
+	default:
+		return "outcome unknown"
+	}
+}
+
+// LinkLost ends the requests that wait for answers over a broken link.
+func (d *Daemon) LinkLost(to string) {
+	for _, id := range d.pending.to(to) {
+		d.dispatchFailed(id, result.Errorf(result.DispatcherLost, "outcome unknown: the link to dispatcher %s broke", to), 0)
+	}
+	d.chooser.failed(time.Now(), 0, to)
+}
+
+// Unsent handles an envelope that was certainly not sent.
+func (d *Daemon) Unsent(to string, env *peerpb.Envelope) {
+	switch b := env.Body.(type) {
+	case *peerpb.Envelope_Dispatch:
+		d.dispatchFailed(b.Dispatch.Id, result.Errorf(result.PeerUnreachable, "dispatcher %s cannot be reached", to), 0)
+	case *peerpb.Envelope_Packet:
+		if b.Packet.ToIssuer || b.Packet.Hops >= maxHops {
+			return // the caller retransmits
+		}
+		// Served here: the holder cannot be reached over its link.
+		b.Packet.Hops = maxHops
+		d.handlePacket(d.settings.InstanceID, b.Packet)
+	}
+}
+
+func addressOf(e membership.Entry) peer.Address {
+	return peer.Address{ID: e.ID, Domain: e.Domain, Target: e.PeerAddress}
+}
+
+// lockedChooser makes a Chooser safe for concurrent use.
+type lockedChooser struct {
+	mu      sync.Mutex
+	chooser *dispatch.Chooser
+	members map[uint32][]string
+}
+
+func (c *lockedChooser) setCandidates(service uint32, instances []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.members == nil {
+		c.members = map[uint32][]string{}
+	}
+	c.members[service] = instances
+	c.chooser.SetCandidates(service, instances)
+}
+
+// choose returns preferred if it is a candidate that did not refuse yet, else the
+// chooser's choice.
+func (c *lockedChooser) choose(now time.Time, service uint32, excluded []string, preferred string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if preferred != "" && contains(c.members[service], preferred) && !contains(excluded, preferred) {
+		return preferred, true
+	}
+	return c.chooser.Choose(now, service, excluded)
+}
+
+func contains(list []string, v string) bool {
+	for _, s := range list {
+		if s == v {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *lockedChooser) observe(now time.Time, from string, s *peerpb.Summary) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.chooser.Observe(now, from, s)
+}
+
+func (c *lockedChooser) sent(service uint32, to string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.chooser.Sent(service, to)
+}
+
+// failed tells the chooser that an instance cannot dispatch; service 0 means all.
+func (c *lockedChooser) failed(now time.Time, service uint32, instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if service != 0 {
+		c.chooser.Failed(now, service, instance)
+		return
+	}
+	for id, members := range c.members {
+		if contains(members, instance) {
+			c.chooser.Failed(now, id, instance)
+		}
+	}
+}
+
+// lockedIssuer makes a permit issuer safe for concurrent use.
+type lockedIssuer struct {
+	mu     sync.Mutex
+	issuer *permit.Issuer
+	last   time.Time // when a permit was last issued
+}
+
+func (i *lockedIssuer) issue(now time.Time, flow uint64, service uint32) ([]byte, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	b := i.issuer.Issue(now, flow, service)
+	if b == nil {
+		return nil, result.Errorf(result.TableFull, "too many permitted requests are on record")
+	}
+	i.last = now
+	return b, nil
+}
+
+func (i *lockedIssuer) begin(now time.Time, echo []byte, p *packet, identity uint64) (permit.Decision, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.issuer.Begin(now, echo, p.hash, p.service.ID, identity, p)
+}
+
+func (i *lockedIssuer) complete(now time.Time, nonce uint64, a permit.Answer) []any {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.issuer.Complete(now, nonce, a)
+}
+
+// idle reports whether no permit of this instance is still valid.
+func (i *lockedIssuer) idle(now time.Time, lifetime time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return now.Sub(i.last) > lifetime
+}
+
+// expire drops the records of expired permits.
+func (i *lockedIssuer) expire(now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.issuer.Expire(now)
+}
+
+func (i *lockedIssuer) rejoin(incarnation uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.issuer.SetIncarnation(incarnation)
+}
+
+// lockedBudget holds a retry budget for each service.
+type lockedBudget struct {
+	mu      sync.Mutex
+	budgets map[uint32]*admission.RetryBudget
+}
+
+const (
+	// retryRatio and retryFloor: retries are at most 10% of first tries, and at least
+	// one a second so that a quiet service can retry at all.
+	retryRatio = 0.1
+	retryFloor = 1
+)
+
+func (b *lockedBudget) budget(service uint32, now time.Time) *admission.RetryBudget {
+	r := b.budgets[service]
+	if r == nil {
+		r = admission.NewRetryBudget(retryRatio, retryFloor, now)
+		b.budgets[service] = r
+	}
+	return r
+}
+
+func (b *lockedBudget) first(service uint32, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service, now).First()
+}
+
+func (b *lockedBudget) retry(service uint32, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service, now).Retry(now)
+}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -132,6 +132,9 @@
 	t.wg.Wait()
 }
 
+// Credentials returns the credentials with which links are dialled.
+func (t *Transport) Credentials() credentials.TransportCredentials { return t.creds }
+
 // Counters returns the byte counters by kind of envelope.
 func (t *Transport) Counters() *Counters { return t.bytes }
 
