--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -186,10 +186,13 @@
 	d.pending++
 	d.work = max(d.work, s.virtual-maxSentLag)
 	s.virtual = max(s.virtual, d.work)
-	d.work += 1 / max(d.rate, minRate(s))
+	if s.maxRate > 0 {
+		d.work += 1 / max(d.rate, minRate(s))
+	}
+	d.work = min(d.work, s.virtual+maxSentLag)
 }
 
-// minRate is assumed for a dispatcher of unknown rate.
+// minRate is assumed for a dispatcher of unknown or zero rate.
 func minRate(s *candidates) float64 { return max(s.maxRate/float64(sampleSize), 1) }
 
 // Failed records that a dispatcher could not be reached or did not answer.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -45,6 +45,9 @@
 	// catches up afterwards, and how far ahead a server can get. The imbalance is
 	// judged over 10 s, so 1 s of catching up still evens it out.
 	maxLag = 1.0
+	// maxLead is how far, in seconds of slot time, a slow server may get ahead of the
+	// mean before it rests: 0.5% of the 10 s over which the imbalance is judged.
+	maxLead = 0.05
 	// finishGrace is how long after its deadline a request may remain without Finish.
 	finishGrace = time.Second
 	// deadMemory is how long the death of an instance starts the quarantine of a server
@@ -139,14 +142,18 @@
 	rate        float64 // requests per second of all usable slots
 	fastest     float64 // seconds; service time of the fastest usable server
 	total, free int     // slots
-	waiting     int     // requests queued or held
-	viewVersion uint64
-	seq         uint64
-	started     bool // SetOwned was called
-	draining    bool
-	fenced      bool
-	recounted   time.Time
-	sweep       int
+	// busySum and usableServers give the mean busy of the usable servers.
+	busySum       float64
+	usableServers int
+	lastFinish    time.Time
+	waiting       int // requests queued or held
+	viewVersion   uint64
+	seq           uint64
+	started       bool // SetOwned was called
+	draining      bool
+	fenced        bool
+	recounted     time.Time
+	sweep         int
 }
 
 // NewScheduler returns a scheduler that owns no server.
@@ -274,7 +281,7 @@
 	if len(s.held) > 0 && len(s.ready) > 0 {
 		out = s.dispatchHeld(out, now)
 	}
-	for len(s.ready) > 0 {
+	for s.anyReady(now) {
 		it, ok := s.queue.Next(now)
 		if !ok {
 			break
@@ -342,7 +349,7 @@
 		}
 	}
 	suits := func(v *server) bool {
-		return v != exclude && (it.Context&contextIdempotent != 0 || !v.idempotentOnly())
+		return v != exclude && !s.resting(now, v) && (it.Context&contextIdempotent != 0 || !v.idempotentOnly())
 	}
 	if len(s.ready) > 0 {
 		if v := s.ready[0]; suits(v) && left >= v.life.Completion() {
@@ -379,6 +386,37 @@
 	return nil, false
 }
 
+// anyReady reports whether a free slot may be used.
+func (s *Scheduler) anyReady(now time.Time) bool {
+	for _, v := range s.ready {
+		if !s.resting(now, v) {
+			return true
+		}
+	}
+	return false
+}
+
+// resting reports whether the free slots of a slow server stay idle for now. A slow
+// server becomes free rarely, so it would be used each time that all others are busy
+// and be busy for a larger share of the time than they are. While it is ahead, a
+// request waits for another server if it ends earlier there. A long queue or a
+// standstill of the others ends the rest, so that no slot is idle at saturation.
+func (s *Scheduler) resting(now time.Time, v *server) bool {
+	// A server in another state is tried as soon as its turn comes.
+	if s.usableServers < 2 || v.life.State() != backend.Active {
+		return false
+	}
+	service := v.life.ServiceTime().Seconds()
+	lead := v.busy - s.busySum/float64(s.usableServers)
+	if lead < maxLead+service/float64(v.cfg.Slots) {
+		return false
+	}
+	others := s.rate - v.rate
+	otherSlots := float64(s.total - v.limit)
+	wait := float64(s.waiting+1)/others + otherSlots/others
+	return wait < service && now.Sub(s.lastFinish).Seconds() < service
+}
+
 // excluded returns the server that shed the request last.
 func (s *Scheduler) excluded(it *admission.Item) *server {
 	if i := it.Context >> excludeShift; i != 0 && int(i) <= len(s.owned) {
@@ -410,9 +448,8 @@
 	g.request = Request{Item: it, Idempotent: it.Context&contextIdempotent != 0}
 	g.server, g.started, g.state, g.cancelled = v, now, grantRunning, false
 	g.expected = v.life.ServiceTime().Seconds() / float64(v.life.Slots())
-	v.busy = max(v.busy, s.virtual-maxLag)
 	s.virtual = max(s.virtual, v.busy)
-	v.busy += g.expected
+	s.setBusy(v, v.busy+g.expected)
 	v.running++
 	s.running++
 	v.life.Granted(now)
@@ -466,8 +503,9 @@
 	g := &s.grants[i]
 	v := g.server
 	// The order of the servers uses the time that the slot really was busy.
-	v.busy += now.Sub(g.started).Seconds()/float64(max(v.life.Slots(), 1)) - g.expected
-	v.busy = min(v.busy, s.virtual+maxLag)
+	took := now.Sub(g.started).Seconds() / float64(max(v.life.Slots(), 1))
+	s.setBusy(v, min(v.busy+took-g.expected, s.virtual+maxLag))
+	s.lastFinish = now
 	g.state, g.server, g.request = grantFree, nil, Request{}
 	s.freeSlots = append(s.freeSlots, i)
 	v.running--
@@ -742,10 +780,18 @@
 	s.total += limit - v.limit
 	s.free += free - v.free
 	s.rate += rate - v.rate
-	v.limit, v.free, v.rate = limit, free, rate
-	if free > 0 {
-		v.busy = max(v.busy, s.virtual-maxLag)
+	if usable := limit > 0; usable != (v.limit > 0) {
+		// A server that could not be used does not catch up all of it.
+		s.setBusy(v, max(v.busy, s.virtual-maxLag))
+		if usable {
+			s.usableServers++
+			s.busySum += v.busy
+		} else {
+			s.usableServers--
+			s.busySum -= v.busy
+		}
 	}
+	v.limit, v.free, v.rate = limit, free, rate
 	s.ready.update(v)
 	if !v.watched && (len(v.foreign) > 0 || v.life.Unsettled()) {
 		v.watched = true
@@ -753,27 +799,37 @@
 	}
 }
 
+// setBusy changes the slot time that orders the server.
+func (s *Scheduler) setBusy(v *server, busy float64) {
+	if v.limit > 0 {
+		s.busySum += busy - v.busy
+	}
+	v.busy = busy
+}
+
 // recount recomputes the incremental sums and checks those that must be exact.
 func (s *Scheduler) recount(now time.Time) {
 	s.recounted = now
-	rate, fastest, total, free, running := 0.0, math.Inf(1), 0, 0, 0
+	rate, busy, fastest, total, free, running := 0.0, 0.0, math.Inf(1), 0, 0, 0
 	for name, v := range s.servers {
+		running += v.running
 		if !v.assigned && v.occupied() == 0 && !v.watched && now.Sub(v.lostAt) > releasedMemory+s.svc.MaxDeadline.Duration() {
 			delete(s.servers, name)
-			continue
 		}
+	}
+	for _, v := range s.owned {
 		rate += v.rate
 		total += v.limit
 		free += v.free
-		running += v.running
 		if v.usable() {
+			busy += v.busy
 			fastest = min(fastest, v.life.ServiceTime().Seconds())
 		}
 	}
 	if total != s.total || free != s.free || running != s.running {
 		Violations.report(ViolationAccounting, "")
 	}
-	s.rate, s.total, s.free = rate, total, free
+	s.rate, s.busySum, s.total, s.free = rate, busy, total, free
 	s.fastest = 0
 	if !math.IsInf(fastest, 1) {
 		s.fastest = fastest
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -18,7 +18,7 @@
 		v.assigned = false
 	}
 	s.owned = s.owned[:0]
-	asks := make(map[string][]string)
+	var asks []AskHandover
 	for i := range servers {
 		a := &servers[i]
 		v := s.servers[a.Server.Name]
@@ -29,7 +29,7 @@
 		s.owned = append(s.owned, v)
 		s.applyConfig(now, v, &a.Server)
 		if v.role == released {
-			out = s.acquire(out, now, v, a.Previous, asks)
+			out = s.acquire(out, now, v, a.Previous, &asks)
 		}
 	}
 	for _, v := range s.servers {
@@ -41,13 +41,24 @@
 	s.started = true
 	s.applyPanic(now)
 	s.recount(now)
-	for to, names := range asks {
-		out = append(out, AskHandover{To: to, Servers: names})
+	for _, a := range asks {
+		out = append(out, a)
 	}
 	out = s.dispatch(out, now)
 	return s.refuseStranded(out)
 }
 
+// ask adds a server to the request to an instance.
+func ask(asks []AskHandover, to, name string) []AskHandover {
+	for i := range asks {
+		if asks[i].To == to {
+			asks[i].Servers = append(asks[i].Servers, name)
+			return asks
+		}
+	}
+	return append(asks, AskHandover{To: to, Servers: []string{name}})
+}
+
 func (s *Scheduler) addServer(now time.Time, a *Assignment) *server {
 	cfg := s.backendConfig(&a.Server)
 	// A server that appears later and that nobody dispatched is new.
@@ -86,7 +97,7 @@
 }
 
 // acquire starts to take over a server that this instance does not dispatch.
-func (s *Scheduler) acquire(out []Action, now time.Time, v *server, previous string, asks map[string][]string) []Action {
+func (s *Scheduler) acquire(out []Action, now time.Time, v *server, previous string, asks *[]AskHandover) []Action {
 	if v.takenBy != "" {
 		previous = v.takenBy // it was handed over by this instance
 	}
@@ -106,7 +117,7 @@
 	}
 	v.fenced = false
 	if previous != "" {
-		asks[previous] = append(asks[previous], v.cfg.Name)
+		*asks = ask(*asks, previous, v.cfg.Name)
 	}
 	return out
 }
@@ -261,7 +272,7 @@
 // tickTakeover repeats unanswered handover requests, ends quarantines and forgets
 // servers that were released long ago.
 func (s *Scheduler) tickTakeover(out []Action, now time.Time) []Action {
-	asks := make(map[string][]string)
+	var asks []AskHandover
 	for _, v := range s.owned {
 		switch {
 		case v.role == quarantined && !now.Before(v.until):
@@ -271,11 +282,11 @@
 			out = s.quarantine(out, now, v, now, "no_answer")
 		case v.role == asking && !now.Before(v.askAgain):
 			v.askAgain = now.Add(s.cfg.HandoverTimeout)
-			asks[v.previous] = append(asks[v.previous], v.cfg.Name)
+			asks = ask(asks, v.previous, v.cfg.Name)
 		}
 	}
-	for to, names := range asks {
-		out = append(out, AskHandover{To: to, Servers: names})
+	for _, a := range asks {
+		out = append(out, a)
 	}
 	return out
 }
