--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -319,7 +319,11 @@
 	case kind == "archive" && m.Code == codes.GET:
 		s.archiveLocked(now, ex, m, path, name)
 	default:
-		s.startLocked(now, ex, m, path, s.spec.MeanWorkMS, message.Message{
+		took := s.durationLocked(now, s.spec.MeanWorkMS)
+		if kind == "probe" {
+			took = time.Duration(s.spec.ProbeWorkMS * float64(time.Millisecond))
+		}
+		s.startLocked(now, ex, m, path, took, message.Message{
 			Code: successCode(m.Code), Payload: []byte("done " + path),
 		})
 	}
@@ -355,7 +359,7 @@
 }
 
 // startLocked runs work in a slot or sheds it.
-func (s *Server) startLocked(now time.Time, ex *exchange, m *message.Message, path string, mean float64, resp message.Message) {
+func (s *Server) startLocked(now time.Time, ex *exchange, m *message.Message, path string, took time.Duration, resp message.Message) {
 	if !s.drainedAt.IsZero() {
 		s.noteWorkLocked(now)
 		if s.ended {
@@ -385,7 +389,6 @@
 			PayloadID: payloadID(m.Payload), StartUS: now.UnixMicro(), Slots: len(s.running) + 1,
 		},
 	}
-	took := s.durationLocked(now, mean)
 	abandon := false
 	if ms, err := m.Options.GetUint32(DeadlineOption); err == nil && time.Duration(ms)*time.Millisecond < took {
 		took, abandon = time.Duration(ms)*time.Millisecond, true
@@ -491,7 +494,7 @@
 	}
 	content := s.archives.get(k)
 	last := min(first+b.szx.Size(), int64(k.size))
-	s.startLocked(now, ex, m, path, s.spec.BlockWorkMS, blockResponse(k, b, content[first:last], last < int64(k.size)))
+	s.startLocked(now, ex, m, path, s.durationLocked(now, s.spec.BlockWorkMS), blockResponse(k, b, content[first:last], last < int64(k.size)))
 }
 
 // midLocked returns the next message ID towards an endpoint.
--- a/internal/standin/backendserver/spec.go
+++ b/internal/standin/backendserver/spec.go
@@ -5,7 +5,8 @@
 //
 // The first path segment of a request is the name of the service; a request for another
 // service counts as misdelivered. Below it, "watch" can be observed, "archive" is served
-// by Block2, and everything else is work that occupies a slot. "/health" and "/load"
+// by Block2, "probe" is work of the same duration on every server, and everything else
+// is work whose duration depends on the speed. Probes, archives and work occupy a slot. "/health" and "/load"
 // occupy none.
 package backendserver
 
@@ -26,6 +27,7 @@
 	defaultMeanWork     = 20.0
 	defaultSigma        = 0.5
 	defaultBlockWork    = 0.3
+	defaultProbeWork    = 1.0
 	defaultTick         = 1000
 	defaultArchiveBytes = 8 << 20
 	defaultMaxAge       = 30
@@ -49,6 +51,8 @@
 	Sigma      float64 `json:"sigma"`
 	// BlockWorkMS is the mean duration of one archive block at speed 1.
 	BlockWorkMS float64 `json:"block_work_ms"`
+	// ProbeWorkMS is the duration of a probe at any speed.
+	ProbeWorkMS float64 `json:"probe_work_ms"`
 	// TickMS is the interval of the stream counter, derived from the wall clock.
 	TickMS int `json:"tick_ms"`
 	// ArchiveSeed and ArchiveBytes determine the content of archives. Servers of one
@@ -75,6 +79,7 @@
 	setDefault(&s.MeanWorkMS, defaultMeanWork)
 	setDefault(&s.Sigma, defaultSigma)
 	setDefault(&s.BlockWorkMS, defaultBlockWork)
+	setDefault(&s.ProbeWorkMS, defaultProbeWork)
 	setDefault(&s.TickMS, defaultTick)
 	setDefault(&s.ArchiveBytes, defaultArchiveBytes)
 	setDefault(&s.MaxAge, defaultMaxAge)
