Add the lab: up, demo, run and report

Cause: deployments, experiments and their checks need one command each.

The outcomes that callers saw are compared with the execution logs of the backend servers.

--- /dev/null
+++ b/test/lab/demo.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+func demoCommand() *cobra.Command {
+	o := options{}
+	c := &cobra.Command{
+		Use: "demo", Short: "Start a deployment, change it under load and check every outcome", Args: cobra.NoArgs,
+	}
+	o.addFlags(c.Flags())
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		begin := time.Now()
+		w := workload()
+		w.ArchiveBytes = 256 << 10 // completes several times in the demonstration
+		r, err := o.run(cmd.Context(), cmd.OutOrStdout(), &demo, w)
+		if err != nil {
+			return err
+		}
+		r.print(cmd.OutOrStdout())
+		fmt.Fprintf(cmd.OutOrStdout(), "whole demonstration: %.1fs\n", time.Since(begin).Seconds())
+		return r.err()
+	}
+	return c
+}
+
+// demo replaces an instance, drains a backend server and kills one.
+var demo = scenario{
+	name: "demo", about: "an instance is replaced, a backend server drains and one is killed", duration: 22 * time.Second,
+	load: 0.4, streams: 100, before: seconds(3, 6), during: seconds(6, 20), steps: demoSteps,
+}
+
+func demoSteps(ctx context.Context, s *session) error {
+	d := s.cluster.Deployment()
+	servers := d.Answers.Services[0].BackendServers
+	if err := s.at(ctx, 6*time.Second); err != nil {
+		return err
+	}
+	replaced := make(chan error, 1)
+	go func() { replaced <- replace(ctx, s, d.Instances[0]) }()
+	if err := s.at(ctx, 10*time.Second); err != nil {
+		return errors.Join(err, <-replaced)
+	}
+	if err := s.cluster.DrainServer(ctx, servers[1].Name, 30*time.Second); err != nil {
+		return errors.Join(err, <-replaced)
+	}
+	s.event("server %s drains", servers[1].Name)
+	if err := s.at(ctx, 14*time.Second); err != nil {
+		return errors.Join(err, <-replaced)
+	}
+	if err := s.cluster.KillServer(ctx, servers[2].Name, false); err != nil {
+		return errors.Join(err, <-replaced)
+	}
+	s.event("server %s is killed", servers[2].Name)
+	return <-replaced
+}
--- a/test/lab/main.go
+++ b/test/lab/main.go
@@ -13,8 +13,10 @@
 )
 
 func main() {
-	root := &cobra.Command{Use: "lab", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(standinCommand())
+	root := &cobra.Command{
+		Use: "lab", Short: "Run deployments of monsoonthread on loopback", SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(standinCommand(), upCommand(), demoCommand(), runCommand(), reportCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
--- /dev/null
+++ b/test/lab/measure.go
@@ -0,0 +1,349 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/internal/standin/backendserver"
+	"github.com/monsoonthread/monsoonthread/internal/standin/callers"
+)
+
+const (
+	// leavingBound is the time after the first notice within which a leaving server gets
+	// its last new work (docs/design.md, 1.2), plus the default interval of health queries.
+	leavingBound = 2500 * time.Millisecond
+	// Measured targets of docs/design.md, 1.7.
+	targetImbalance = 1.05
+	targetKept      = 0.95
+	targetAddedP99  = time.Millisecond
+	targetControl   = 4096
+	// imbalanceWindow is the time over which the imbalance is measured.
+	imbalanceWindow = 10 * time.Second
+)
+
+// measure collects the result of a run whose callers have ended.
+func (s *session) measure(ctx context.Context, sc *scenario) (*Result, error) {
+	d := s.cluster.Deployment()
+	total := time.Duration(s.plan.DurationMS) * time.Millisecond
+	r := &Result{
+		Scenario: sc.name, Deployment: d.Name, Seed: d.Seed, Instances: len(d.Instances), DurationMS: total.Milliseconds(),
+		Violations: []string{}, Findings: []string{},
+	}
+	all, err := s.callers.Report(ctx, 0, total)
+	if err != nil {
+		return nil, err
+	}
+	r.Loads, r.Streams, r.Archives = all.Loads, all.Streams, all.Archives
+	s.mu.Lock()
+	r.Events = append([]Event{}, s.events...)
+	s.mu.Unlock()
+	if sc.before != sc.during {
+		if err := s.compare(ctx, sc, r); err != nil {
+			return nil, err
+		}
+	}
+	measured, err := s.callers.Report(ctx, sc.during.from, sc.during.to)
+	if err != nil {
+		return nil, err
+	}
+	r.Latency = latency(measured.Loads)
+	r.Services = s.services(sc.during)
+	r.Cost = s.cost(sc.during)
+	if err := s.series(ctx, r); err != nil {
+		return nil, err
+	}
+	if err := s.check(ctx, r); err != nil {
+		return nil, err
+	}
+	r.judge(sc)
+	return r, nil
+}
+
+// compare measures the goodput before and during the main event of a scenario.
+func (s *session) compare(ctx context.Context, sc *scenario, r *Result) error {
+	before, err := s.callers.Report(ctx, sc.before.from, sc.before.to)
+	if err != nil {
+		return err
+	}
+	during, err := s.callers.Report(ctx, sc.during.from, sc.during.to)
+	if err != nil {
+		return err
+	}
+	r.Before, r.During = before.Loads, during.Loads
+	for i, b := range before.Loads {
+		if sc.flood[b.Class] || b.Name == directLoad || b.Name == probeLoad || b.Done == 0 {
+			continue
+		}
+		k := Kept{Load: b.Name, Before: b.Goodput, During: during.Loads[i].Goodput}
+		k.Share = k.During / math.Min(k.Before, s.guaranteed(b))
+		r.Kept = append(r.Kept, k)
+	}
+	return nil
+}
+
+// guaranteed returns the goodput that the minimum share of a load's class is worth. The
+// share of a class is divided among its loads by their rates.
+func (s *session) guaranteed(l callers.LoadReport) float64 {
+	d := s.cluster.Deployment()
+	svc, ok := d.Service(l.Service)
+	if !ok {
+		return math.Inf(1)
+	}
+	var mine, class float64
+	for _, p := range s.plan.Loads {
+		if p.Service == l.Service && p.Class == l.Class {
+			class += p.Rate
+			if p.Name == l.Name {
+				mine = p.Rate
+			}
+		}
+	}
+	for c := range config.NumClasses {
+		if c.String() == l.Class {
+			return d.Capacity(l.Service) * float64(svc.MinShares[c]) / 100 * mine / class
+		}
+	}
+	return math.Inf(1)
+}
+
+// latency compares the probes through the instances with the direct ones.
+func latency(loads []callers.LoadReport) LatencyResult {
+	var r LatencyResult
+	for _, l := range loads {
+		switch l.Name {
+		case probeLoad:
+			r.ThroughP50US, r.ThroughP99US = l.P50US, l.P99US
+		case directLoad:
+			r.DirectP50US, r.DirectP99US = l.P50US, l.P99US
+		}
+	}
+	r.AddedP50US, r.AddedP99US = r.ThroughP50US-r.DirectP50US, r.ThroughP99US-r.DirectP99US
+	return r
+}
+
+// services measures the use of the slots in the last 10 s of a window. Servers that were
+// not up and active during all of it do not count.
+func (s *session) services(w window) []ServiceResult {
+	w.from = max(w.from, w.to-imbalanceWindow)
+	first, last, ok := s.between(w)
+	if !ok {
+		return nil
+	}
+	shares := busyShares(first, last)
+	var all []ServiceResult
+	for _, svc := range s.cluster.Deployment().Answers.Services {
+		r := ServiceResult{Name: svc.Name}
+		highest := 0.0
+		for _, b := range svc.BackendServers {
+			if v, ok := shares[b.Name]; ok {
+				r.Servers++
+				r.SlotsBusy += v
+				highest = max(highest, v)
+			}
+		}
+		if r.Servers > 0 && r.SlotsBusy > 0 {
+			r.SlotsBusy /= float64(r.Servers)
+			r.Imbalance = highest / r.SlotsBusy
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+// busyShares returns the share of slot time that each active server used between two
+// samples. The work of a server over its measured capacity is this share, because its
+// capacity is the work it completes with all slots busy.
+func busyShares(first, last sample) map[string]float64 {
+	before := map[string]backendserver.Status{}
+	for _, st := range first.servers {
+		before[st.Name] = st
+	}
+	shares := map[string]float64{}
+	for _, st := range last.servers {
+		b, ok := before[st.Name]
+		if !ok || !st.Alive || !b.Alive || st.Draining || b.Draining || st.BusyUS < b.BusyUS {
+			continue
+		}
+		shares[st.Name] = float64(st.BusyUS-b.BusyUS) / 1e6 / (last.at - first.at).Seconds() / float64(st.Slots)
+	}
+	return shares
+}
+
+// cost measures the instances that ran during the whole window.
+func (s *session) cost(w window) CostResult {
+	first, last, ok := s.between(w)
+	if !ok {
+		return CostResult{}
+	}
+	seconds := (last.at - first.at).Seconds()
+	before := map[int]instanceSample{}
+	for _, in := range first.instances {
+		before[in.pid] = in
+	}
+	var r CostResult
+	n := 0.0
+	for _, in := range last.instances {
+		b, ok := before[in.pid]
+		if !ok {
+			continue
+		}
+		n++
+		control := (in.control - b.control) / seconds
+		cpu := (in.usage.CPU - b.usage.CPU).Seconds() / seconds
+		r.ControlBytesMean += control
+		r.ControlBytesMax = max(r.ControlBytesMax, control)
+		r.CPUMean += cpu
+		r.CPUMax = max(r.CPUMax, cpu)
+		r.RSSMaxBytes = max(r.RSSMaxBytes, in.usage.RSSBytes)
+	}
+	if n > 0 {
+		r.ControlBytesMean /= n
+		r.CPUMean /= n
+	}
+	return r
+}
+
+// series fills in what happened in each second.
+func (s *session) series(ctx context.Context, r *Result) error {
+	s.mu.Lock()
+	samples := append([]sample{}, s.samples...)
+	s.mu.Unlock()
+	for i := 1; i < len(samples); i++ {
+		from := samples[i-1].at.Truncate(sampleInterval)
+		rep, err := s.callers.Report(ctx, from, from+sampleInterval)
+		if err != nil {
+			return err
+		}
+		sec := Second{AtMS: from.Milliseconds(), Goodput: map[string]float64{}, Busy: map[string]float64{}}
+		for _, l := range rep.Loads {
+			sec.Goodput[l.Name] = l.Goodput
+		}
+		for _, sv := range s.services(window{samples[i-1].at, samples[i].at}) {
+			sec.Busy[sv.Name] = sv.SlotsBusy
+		}
+		r.Series = append(r.Series, sec)
+	}
+	return nil
+}
+
+// check compares the outcomes that callers saw with what the backend servers executed.
+func (s *session) check(ctx context.Context, r *Result) error {
+	c := &r.Checks
+	for _, st := range r.Streams {
+		c.BrokenStreams += st.Broken + st.Count - st.Established
+		c.LongestSilenceMS = max(c.LongestSilenceMS, st.LongestSilenceMS)
+		c.MissedTicks += st.MissedTicks
+		c.StepsBack += st.StepsBack
+		c.WrongAnswers += st.WrongPath
+	}
+	for _, a := range r.Archives {
+		c.IncompleteArchives += a.Started - a.Complete
+	}
+	for _, l := range r.Loads {
+		c.WrongAnswers += l.Details["4.04"] // a server answers a path of another service with it
+	}
+	servers, err := s.cluster.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	for _, st := range servers {
+		c.Misdelivered += st.Misdelivered
+		c.Overruns += st.Overruns
+		c.LateWorkMS = max(c.LateWorkMS, st.LastWorkAfterDrainMS)
+	}
+	s.mu.Lock()
+	worst := map[int]float64{}
+	for _, sm := range s.samples {
+		for _, in := range sm.instances {
+			worst[in.pid] = in.invalid
+		}
+	}
+	s.mu.Unlock()
+	for _, v := range worst {
+		c.Invariants += uint64(v)
+	}
+	orders, err := s.callers.Orders(ctx)
+	if err != nil {
+		return err
+	}
+	executions, err := s.cluster.Executions(ctx)
+	if err != nil {
+		return err
+	}
+	c.compareOrders(orders, executions)
+	return nil
+}
+
+// compareOrders counts the requests whose outcome contradicts the execution logs.
+func (c *Checks) compareOrders(orders []callers.Order, executions []backendserver.Execution) {
+	runs := map[string]int{}
+	for _, e := range executions {
+		if e.PayloadID != "" {
+			runs[e.PayloadID]++
+		}
+	}
+	for _, n := range runs {
+		if n > 1 {
+			c.ExecutedTwice++
+		}
+	}
+	for _, o := range orders {
+		switch n := runs[o.PayloadID]; {
+		case o.Outcome == callers.Refused && n > 0:
+			c.RefusedButExecuted++
+		case (o.Outcome == callers.Done || o.Outcome == callers.Late) && n == 0:
+			c.DoneNotExecuted++
+		case o.Outcome == callers.Unknown:
+			c.OrdersUnknown++
+		}
+	}
+}
+
+// judge turns counts into violations of requirements and findings.
+func (r *Result) judge(sc *scenario) {
+	c := r.Checks
+	limit := func(broken bool, forbidden bool, format string, args ...any) {
+		if !broken {
+			return
+		}
+		text := fmt.Sprintf(format, args...)
+		if forbidden {
+			r.Violations = append(r.Violations, text)
+		} else {
+			r.Findings = append(r.Findings, text)
+		}
+	}
+	limit(c.BrokenStreams > 0, !sc.mayBreak, "%d broken streams", c.BrokenStreams)
+	limit(c.StepsBack > 0, true, "%d stream states went back", c.StepsBack)
+	limit(c.Misdelivered > 0, true, "%d requests reached another service", c.Misdelivered)
+	limit(c.WrongAnswers > 0, true, "%d answers to other requests", c.WrongAnswers)
+	limit(c.RefusedButExecuted > 0, true, "%d requests refused but executed", c.RefusedButExecuted)
+	limit(c.ExecutedTwice > 0, true, "%d requests executed twice", c.ExecutedTwice)
+	limit(c.DoneNotExecuted > 0, true, "%d requests done but not executed", c.DoneNotExecuted)
+	limit(c.Overruns > 0, !sc.mayOverrun, "%d overruns", c.Overruns)
+	limit(c.IncompleteArchives > 0, !sc.mayBreak, "%d incomplete archives", c.IncompleteArchives)
+	limit(c.LateWorkMS > leavingBound.Milliseconds(), !sc.mayBreak, "a draining server got work after %d ms", c.LateWorkMS)
+	limit(c.Invariants > 0, true, "%d violated invariants", c.Invariants)
+	limit(c.OrdersUnknown > 0, sc.planned, "%d orders with an unknown outcome", c.OrdersUnknown)
+	for _, s := range r.Services {
+		limit(s.Imbalance > targetImbalance, false, "imbalance of %s is %.3f, target %.2f", s.Name, s.Imbalance, targetImbalance)
+	}
+	for _, k := range r.Kept {
+		limit(k.Share < targetKept && len(sc.flood) > 0, false, "%s keeps %.1f%% during the flood, target %.0f%%", k.Load, 100*k.Share, 100*targetKept)
+	}
+	added := time.Duration(r.Latency.AddedP99US) * time.Microsecond
+	limit(sc.latency && added > targetAddedP99, false, "p99 added latency is %v, target %v", added, targetAddedP99)
+	limit(r.Cost.ControlBytesMax > targetControl, false, "an instance used %.0f control bytes/s, target %d", r.Cost.ControlBytesMax, targetControl)
+}
+
+// err returns an error that names the violations.
+func (r *Result) err() error {
+	if len(r.Violations) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%s: %s", r.Scenario, strings.Join(r.Violations, "; "))
+}
--- /dev/null
+++ b/test/lab/run.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/monsoonthread/monsoonthread/internal/settings"
+	"github.com/monsoonthread/monsoonthread/test/lab/cluster"
+)
+
+// resultDir is where results and plots are committed.
+const resultDir = "docs/measurements"
+
+func runCommand() *cobra.Command {
+	var o options
+	var baseline, out string
+	var about []string
+	for _, s := range scenarios {
+		about = append(about, fmt.Sprintf("  %-20s %s", s.name, s.about))
+	}
+	c := &cobra.Command{
+		Use: "run SCENARIO", Short: "Run one experiment and write its result", Args: cobra.ExactArgs(1),
+		Long: "Run one experiment and write its result. Scenarios:\n\n" + strings.Join(about, "\n"),
+	}
+	o.addFlags(c.Flags())
+	c.Flags().StringVar(&baseline, "baseline", "", "dispatch policy to compare with: "+strings.Join(settings.Policies[1:], ", "))
+	c.Flags().StringVar(&out, "out", resultDir, "directory of the result; empty writes none")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		sc, err := scenarioByName(args[0])
+		if err != nil {
+			return err
+		}
+		if baseline != "" {
+			if !slices.Contains(settings.Policies, baseline) {
+				return fmt.Errorf("baseline %q does not exist; known are %v", baseline, settings.Policies[1:])
+			}
+			o.daemonArgs = append(o.daemonArgs, "--dispatch-policy", baseline)
+		}
+		r, err := o.run(cmd.Context(), cmd.OutOrStdout(), sc, workload())
+		if err != nil {
+			return err
+		}
+		r.Baseline = baseline
+		r.print(cmd.OutOrStdout())
+		if out != "" {
+			if err := r.write(out); err != nil {
+				return err
+			}
+		}
+		return r.err()
+	}
+	return c
+}
+
+// run starts a deployment, executes the scenario and measures.
+func (o *options) run(ctx context.Context, out io.Writer, sc *scenario, w cluster.Workload) (r *Result, err error) {
+	w.EqualSpeed = sc.equalSpeed
+	c, end, err := o.open(ctx, out, w)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		failed := err != nil || len(r.Violations) > 0
+		err = errors.Join(err, end(failed))
+	}()
+	if err := start(ctx, out, c); err != nil {
+		return nil, err
+	}
+	reference, err := c.StartReference(ctx, c.Deployment().Answers.Services[0].Name)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{cluster: c, plan: newPlan(c.Deployment(), sc, reference)}
+	fmt.Fprintf(out, "running %s for %v\n", sc.name, sc.duration)
+	ctx, cancel := context.WithTimeout(ctx, sc.duration+2*time.Minute)
+	defer cancel()
+	if err := s.load(ctx, sc.steps); err != nil {
+		return nil, err
+	}
+	return s.measure(ctx, sc)
+}
+
+// write stores the result under the names of the scenario and the baseline.
+func (r *Result) write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%s-%s-%d.json", r.Deployment, r.Scenario, r.Seed)
+	if r.Baseline != "" {
+		name = fmt.Sprintf("%s-%s-%s-%d.json", r.Deployment, r.Scenario, r.Baseline, r.Seed)
+	}
+	b, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, name), append(b, '\n'), 0o644)
+}
