Add monsoonctl

Cause: operators need one tool for the questionnaire, accepting and rejecting, and for seeing where a version is in force.

Ruled out: using heartbeats for the versions of instances that answer (they lag or can be of an older run); an accept ID made at each accept, because a repeat after a lost answer would then be told a conflict. The proposal file holds the accept ID and whether an accept was started.

Change: internal/ctl with questionnaire new, check, generate, diff, accept, reject; status, in-force (--wait), timeline, version; text and JSON output, settings by flags and environment, mutual TLS, exit codes 0 to 4.

Conclusion: go test ./internal/ctl passes against the key-value stand-in and gRPC fakes.

--- a/cmd/monsoonctl/main.go
+++ b/cmd/monsoonctl/main.go
@@ -1,4 +1,18 @@
 // Command monsoonctl is the operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/monsoonthread/monsoonthread/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Main(ctx, ctl.Env{Args: os.Args[1:], In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,242 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/monsoonthread/monsoonthread/internal/standin/kvservice"
+	"github.com/monsoonthread/monsoonthread/membership"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+	"github.com/monsoonthread/monsoonthread/questionnaire"
+)
+
+// fakeInstance serves the Operator calls of one entry instance.
+type fakeInstance struct {
+	peerpb.UnimplementedOperatorServer
+	self    *peerpb.Member
+	version atomic.Uint64
+	domains []*peerpb.DomainSummary
+	events  []*peerpb.Event
+}
+
+func (i *fakeInstance) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return &peerpb.StatusReply{Self: i.self, Ready: true, Domains: i.domains, ConfigVersion: i.version.Load(),
+		Servers: []*peerpb.ServerStatus{{Name: "orders-01", Service: "orders", State: "active", Role: "dispatcher", Slots: 2}}}, nil
+}
+
+func (i *fakeInstance) Timeline(_ context.Context, r *peerpb.TimelineRequest) (*peerpb.TimelineReply, error) {
+	reply := &peerpb.TimelineReply{}
+	for _, e := range i.events {
+		if e.Hlc > r.AfterHlc && len(reply.Events) < int(r.Limit) {
+			reply.Events = append(reply.Events, e)
+		}
+	}
+	return reply, nil
+}
+
+func startInstance(t *testing.T, id, domain string, version uint64) *fakeInstance {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := &fakeInstance{self: &peerpb.Member{Id: id, Domain: domain, PeerAddress: l.Addr().String()}}
+	i.version.Store(version)
+	s := grpc.NewServer()
+	peerpb.RegisterOperatorServer(s, i)
+	go s.Serve(l)
+	t.Cleanup(s.Stop)
+	return i
+}
+
+// knowEachOther lets the first instance know all the others.
+func knowEachOther(instances ...*fakeInstance) {
+	for _, i := range instances {
+		instances[0].domains = append(instances[0].domains, &peerpb.DomainSummary{Name: i.self.Domain, Members: []*peerpb.Member{i.self}})
+	}
+}
+
+// console runs commands against one store and set of instances.
+type console struct {
+	t        *testing.T
+	dir      string
+	env      map[string]string
+	out, err bytes.Buffer
+}
+
+func newConsole(t *testing.T) *console {
+	return &console{t: t, dir: t.TempDir(), env: map[string]string{"MONSOONTHREAD_CALL_TIMEOUT": "1s"}}
+}
+
+func (c *console) path(name string) string { return filepath.Join(c.dir, name) }
+
+// run checks the exit code and that the output or the errors contain a text.
+func (c *console) run(code int, want string, args ...string) {
+	c.t.Helper()
+	c.out.Reset()
+	c.err.Reset()
+	got := Main(context.Background(), Env{Args: args, In: strings.NewReader(""), Out: &c.out, Err: &c.err,
+		Getenv: func(name string) string { return c.env[name] }})
+	if got != code || !strings.Contains(c.out.String()+c.err.String(), want) {
+		c.t.Fatalf("%v: exit code %d, want %d and %q; output:\n%s%s", args, got, code, want, &c.out, &c.err)
+	}
+}
+
+func (c *console) withStore() *kvservice.Service {
+	store := kvservice.New(1, time.Now)
+	server := httptest.NewServer(store.Handler())
+	c.t.Cleanup(server.Close)
+	c.env["MONSOONTHREAD_STORE_URL"] = server.URL
+	return store
+}
+
+func (c *console) writeQuestionnaire(replacements ...string) {
+	b := strings.NewReplacer(replacements...).Replace(string(questionnaire.Template("bellefleur")))
+	if err := os.WriteFile(c.path("q.yaml"), []byte(b), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Guards against an operators' path from questionnaire to accept that does not fit
+// together, against a loser of two accepts that is not told so, and against wrong exit
+// codes.
+func TestProposalsAreAcceptedOrRejected(t *testing.T) {
+	c := newConsole(t)
+	store := c.withStore()
+	c.run(ExitOK, "", "questionnaire", "new", "--template", "bellefleur", "--file", c.path("q.yaml"))
+	c.run(ExitError, "[601] write questionnaire", "questionnaire", "new", "--template", "bellefleur", "--file", c.path("q.yaml"))
+	c.run(ExitOK, "bellefleur: no mistakes (3 failure domains, 2 services)", "questionnaire", "check", c.path("q.yaml"))
+	c.run(ExitOK, "proposal for version 1", "questionnaire", "generate", c.path("q.yaml"), "--file", c.path("first"))
+	c.run(ExitOK, "+ service orders (address 127.0.0.1:5701, 15 backend servers)", "questionnaire", "diff", c.path("first"))
+	store.SetFaults(kvservice.Faults{LoseNextAnswers: 3})
+	c.run(ExitOK, "accepted as version 1", "questionnaire", "accept", c.path("first"))
+	c.run(ExitOK, "accepted as version 1", "questionnaire", "accept", c.path("first"))
+	c.run(ExitError, "[407]", "questionnaire", "reject", c.path("first"))
+
+	c.writeQuestionnaire("relative_speed: 8", "relative_speed: 7.5")
+	c.run(ExitOK, "~ service orders backend server orders-04: relative speed 800% -> 750%",
+		"questionnaire", "generate", c.path("q.yaml"), "--file", c.path("second"))
+	c.writeQuestionnaire("max_deadline: 10s", "max_deadline: 20s")
+	c.run(ExitOK, "proposal for version 2", "questionnaire", "generate", c.path("q.yaml"), "--file", c.path("third"))
+	c.run(ExitOK, "accepted as version 2", "questionnaire", "accept", c.path("second"))
+	c.run(ExitConflict, "~ service catalogue: max deadline 10000 ms -> 20000 ms", "questionnaire", "accept", c.path("third"))
+	c.run(ExitConflict, `"code": 402`, "questionnaire", "accept", c.path("third"), "--output", "json")
+
+	c.run(ExitOK, "proposal for version 3", "questionnaire", "generate", c.path("q.yaml"), "--file", c.path("fourth"))
+	c.run(ExitOK, "rejected", "questionnaire", "reject", c.path("fourth"))
+	if _, err := os.Stat(c.path("fourth")); !os.IsNotExist(err) {
+		t.Fatal("the rejected proposal is still there")
+	}
+	c.run(ExitOK, "proposal for version 3", "questionnaire", "generate", c.path("q.yaml"), "--file", c.path("fifth"))
+	store.SetFaults(kvservice.Faults{Outage: true})
+	c.run(ExitError, "[501]", "questionnaire", "accept", c.path("fifth"), "--timeout", "300ms")
+}
+
+// Guards against mistakes of a questionnaire that do not reach the operator in either
+// form of output.
+func TestCheckReportsMistakes(t *testing.T) {
+	c := newConsole(t)
+	c.writeQuestionnaire("slots: 2", "slots: two")
+	c.run(ExitError, `line 43: services[0].hosts[0].slots: "two" is not allowed; allowed: whole number from 1 to 1024`,
+		"questionnaire", "check", c.path("q.yaml"))
+	c.run(ExitError, "[401] questionnaire has 19 mistakes", "questionnaire", "check", c.path("q.yaml"))
+	c.run(ExitError, "", "questionnaire", "check", c.path("q.yaml"), "-o", "json")
+	var f failure
+	if err := json.Unmarshal(c.err.Bytes(), &f); err != nil || f.Code != 401 || len(f.Mistakes) != 19 || f.Mistakes[0].Line != 43 {
+		t.Fatalf("%v: %+v", err, f)
+	}
+}
+
+// Guards against command lines that are not refused as such.
+func TestUsageErrors(t *testing.T) {
+	c := newConsole(t)
+	for _, args := range [][]string{
+		{}, {"bogus"}, {"questionnaire"}, {"questionnaire", "bogus"}, {"status", "extra"}, {"status", "--bogus"}, {"status"},
+		{"version", "--output", "xml"}, {"questionnaire", "check"}, {"questionnaire", "generate", os.DevNull, "--call-timeout", "-1s"},
+		{"in-force", "--instances", "not-an-address"}, {"questionnaire", "new", "--template", "other"},
+	} {
+		c.run(ExitUsage, "monsoonctl: [601]", args...)
+	}
+	c.env["MONSOONTHREAD_OUTPUT"] = "json"
+	c.run(ExitOK, `"go": "go`, "version")
+	c.run(ExitOK, "monsoonctl ", "version", "--output", "text") // a flag outranks the environment
+	c.env["MONSOONTHREAD_CALL_TIMEOUT"] = "soon"
+	c.run(ExitUsage, "MONSOONTHREAD_CALL_TIMEOUT", "version")
+	delete(c.env, "MONSOONTHREAD_CALL_TIMEOUT")
+	c.run(ExitOK, "bash completion", "completion", "bash", "--output", "text")
+}
+
+// Guards against a version that is called in force although an instance lags, and
+// against a wait that an unreachable failure domain holds up.
+func TestInForce(t *testing.T) {
+	c := newConsole(t)
+	a, b, far := startInstance(t, "a", "laval", 5), startInstance(t, "b", "levis", 4), &fakeInstance{}
+	far.self = &peerpb.Member{Id: "far", Domain: "sherbrooke", PeerAddress: "127.0.0.1:1", ConfigVersion: 4, State: uint32(membership.Alive)}
+	dead := &fakeInstance{self: &peerpb.Member{Id: "dead", Domain: "levis", PeerAddress: "127.0.0.1:2", State: uint32(membership.Dead)}}
+	knowEachOther(a, b, far, dead)
+	// Heartbeats can also be ahead of what an instance answers itself.
+	a.domains[1].Members[0].ConfigVersion = 5
+	c.env["MONSOONTHREAD_INSTANCES"] = a.self.PeerAddress
+
+	c.run(ExitOK, "version 5 is not in force everywhere", "in-force")
+	for _, line := range []string{"laval           5            1          -        -", "levis           4            1          b (4)    -", "sherbrooke      unreachable  1          -        far (4)"} {
+		if !strings.Contains(c.out.String(), line) {
+			t.Fatalf("no line %q in\n%s", line, &c.out)
+		}
+	}
+	c.run(ExitNotInForce, "[404] version 5 is not in force in time", "in-force", "--wait", "--timeout", "100ms")
+	time.AfterFunc(200*time.Millisecond, func() { b.version.Store(5) })
+	c.run(ExitOK, "version 5 is in force at every reachable instance", "in-force", "--wait")
+	if !strings.Contains(c.err.String(), "version 5: laval 1/1, levis 0/1, sherbrooke 0/1") {
+		t.Fatalf("no progress in\n%s", &c.err)
+	}
+	c.run(ExitNotInForce, "version 6", "in-force", "--wait", "--timeout", "100ms", "--version", "6")
+	c.withStore()
+	c.run(ExitOK, `"wanted": 5`, "in-force", "-o", "json")
+	c.run(ExitOK, "127.0.0.1:1", "status")
+	c.run(ExitOK, "orders   orders-01", "status")
+	c.env["MONSOONTHREAD_INSTANCES"] = "127.0.0.1:1"
+	c.run(ExitError, "[113]", "in-force")
+}
+
+// Guards against events out of order, and against a gap that looks like a complete
+// timeline when one instance sends only its first events.
+func TestTimelineMergesByClock(t *testing.T) {
+	c := newConsole(t)
+	a, b := startInstance(t, "a", "laval", 1), startInstance(t, "b", "levis", 1)
+	knowEachOther(a, b)
+	event := func(hlc uint64, instance string) *peerpb.Event {
+		return &peerpb.Event{Hlc: hlc << 16, Instance: instance, Name: "config_in_force", Fields: []string{"version=1"}}
+	}
+	a.events = []*peerpb.Event{event(1000, "a"), event(1003, "a"), event(1006, "a")}
+	b.events = []*peerpb.Event{event(1001, "b"), event(1003, "b"), event(1004, "b"), event(1005, "b")}
+	c.env["MONSOONTHREAD_INSTANCES"] = a.self.PeerAddress
+	for limit, want := range map[string]string{"100": "ababbba", "3": "ababb"} {
+		c.run(ExitOK, "1970-01-01T00:00:01.003Z", "timeline", "--limit", limit, "-o", "json")
+		var r timelineResult
+		if err := json.Unmarshal(c.out.Bytes(), &r); err != nil {
+			t.Fatal(err)
+		}
+		got := ""
+		for _, e := range r.Events {
+			got += e.Instance
+		}
+		if got != want {
+			t.Errorf("limit %s: %s, want %s", limit, got, want)
+		}
+	}
+	c.run(ExitOK, "", "timeline", "--after", "65798144")
+	if got := strings.Count(c.out.String(), "config_in_force version=1"); got != 2 {
+		t.Fatalf("%d events after 1004:\n%s", got, &c.out)
+	}
+}
--- /dev/null
+++ b/internal/ctl/questionnaire.go
@@ -0,0 +1,282 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/questionnaire"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const defaultAcceptTimeout = time.Minute
+
+func (a *app) questionnaireCommand() *cobra.Command {
+	c := &cobra.Command{Use: "questionnaire", Short: "Fill in the questionnaire; generate, accept or reject a proposal", RunE: group}
+	c.AddCommand(a.newCommand(), a.checkCommand(), a.generateCommand(), a.diffCommand(), a.acceptCommand(), a.rejectCommand())
+	return c
+}
+
+// newCommand asks the questions or writes an example.
+func (a *app) newCommand() *cobra.Command {
+	var template, file string
+	c := &cobra.Command{
+		Use: "new", Short: "Ask the questions in the terminal, or write a complete example", Args: exactly(),
+		RunE: func(*cobra.Command, []string) error {
+			var answers []byte
+			var err error
+			if template == "" {
+				answers, err = questionnaire.Ask(a.env.In, a.env.Err)
+			} else if answers = questionnaire.Template(template); answers == nil {
+				err = usagef("--template %q is not allowed; allowed: %s", template, strings.Join(questionnaire.Templates, ", "))
+			}
+			if err != nil {
+				return err
+			}
+			if file == "" {
+				_, err = a.env.Out.Write(answers)
+				return err
+			}
+			return a.writeNew(file, answers)
+		},
+	}
+	c.Flags().StringVar(&template, "template", "", "example to write: "+strings.Join(questionnaire.Templates, " or "))
+	c.Flags().StringVar(&file, "file", "", "new file to write; without it the answers go to the output")
+	must(c.RegisterFlagCompletionFunc("template", cobra.FixedCompletions(questionnaire.Templates, cobra.ShellCompDirectiveNoFileComp)))
+	return c
+}
+
+// writeNew never replaces an existing file, which could hold a team's answers.
+func (a *app) writeNew(path string, b []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if err != nil {
+		return result.Errorf(result.SettingsInvalid, "write questionnaire: %w", err)
+	}
+	_, err = f.Write(b)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func readQuestionnaire(path string) (*questionnaire.Answers, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Errorf(result.SettingsInvalid, "read questionnaire: %w", err)
+	}
+	return questionnaire.Parse(b)
+}
+
+// checkResult tells what a questionnaire without mistakes describes.
+type checkResult struct {
+	Deployment string `json:"deployment"`
+	Domains    int    `json:"failure_domains"`
+	Services   int    `json:"services"`
+}
+
+func (r checkResult) text(w io.Writer) {
+	fmt.Fprintf(w, "%s: no mistakes (%d failure domains, %d services)\n", r.Deployment, r.Domains, r.Services)
+}
+
+func (a *app) checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check QUESTIONNAIRE", Short: "Report every mistake of a questionnaire", Args: exactly("QUESTIONNAIRE"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			answers, err := readQuestionnaire(args[0])
+			if err != nil {
+				return err
+			}
+			return a.print(checkResult{answers.Deployment, len(answers.Domains), len(answers.Services)})
+		},
+	}
+}
+
+// generateResult describes a new proposal.
+type generateResult struct {
+	Proposal string          `json:"proposal"`
+	Base     uint64          `json:"base"`
+	Changes  []config.Change `json:"changes"`
+	Size     string          `json:"size"`
+}
+
+func (r generateResult) text(w io.Writer) {
+	fmt.Fprintf(w, "%s: proposal for version %d (%s)\n", r.Proposal, r.Base+1, r.Size)
+	printChanges(w, r.Changes)
+}
+
+func printChanges(w io.Writer, changes []config.Change) {
+	for _, c := range changes {
+		fmt.Fprintln(w, c)
+	}
+	if len(changes) == 0 {
+		fmt.Fprintln(w, "no changes")
+	}
+}
+
+func (a *app) generateCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use: "generate QUESTIONNAIRE", Short: "Generate a proposal from a questionnaire and the accepted configuration", Args: exactly("QUESTIONNAIRE"),
+		RunE: func(c *cobra.Command, args []string) error {
+			answers, err := readQuestionnaire(args[0])
+			if err != nil {
+				return err
+			}
+			accepted, err := a.accepted(c.Context())
+			if err != nil {
+				return err
+			}
+			generated, err := questionnaire.Generate(answers, accepted)
+			if err != nil {
+				return err
+			}
+			if file == "" {
+				file = answers.Deployment + ".proposal.json"
+			}
+			p := newProposal(answers.Deployment, generated.Version-1, generated)
+			if err := p.write(file); err != nil {
+				return err
+			}
+			return a.print(generateResult{file, p.Base, config.Diff(accepted, generated), p.describe()})
+		},
+	}
+	c.Flags().StringVar(&file, "file", "", "proposal to write, default DEPLOYMENT.proposal.json")
+	return c
+}
+
+// accepted reads the accepted configuration; nil if there is none yet.
+func (a *app) accepted(ctx context.Context) (*config.Config, error) {
+	store, err := a.openStore()
+	if err != nil {
+		return nil, err
+	}
+	c, err := config.Load(ctx, store)
+	if result.CodeOf(err) == result.StoreNotFound {
+		// Only a missing head means that nothing was accepted; a missing service value
+		// is a fault.
+		if _, _, headErr := config.ReadHead(ctx, store); result.CodeOf(headErr) == result.StoreNotFound {
+			return nil, nil
+		}
+	}
+	return c, err
+}
+
+// diffResult tells how a proposal differs from the accepted configuration.
+type diffResult struct {
+	Base     uint64          `json:"base"`
+	Accepted uint64          `json:"accepted"`
+	Changes  []config.Change `json:"changes"`
+}
+
+func (r diffResult) text(w io.Writer) {
+	if r.Base != r.Accepted {
+		fmt.Fprintf(w, "the proposal was made from version %d, but version %d is accepted: generate it again\n", r.Base, r.Accepted)
+	}
+	fmt.Fprintf(w, "from version %d to the proposal:\n", r.Accepted)
+	printChanges(w, r.Changes)
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "diff PROPOSAL", Short: "Show the changes from the accepted configuration to a proposal", Args: exactly("PROPOSAL"),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := readProposal(args[0])
+			if err != nil {
+				return err
+			}
+			accepted, err := a.accepted(c.Context())
+			if err != nil {
+				return err
+			}
+			r := diffResult{Base: p.Base, Changes: config.Diff(accepted, p.Config)}
+			if accepted != nil {
+				r.Accepted = accepted.Version
+			}
+			return a.print(r)
+		},
+	}
+}
+
+// acceptResult tells that a proposal was accepted.
+type acceptResult struct {
+	Version  uint64 `json:"version"`
+	AcceptID string `json:"accept_id"`
+}
+
+func (r acceptResult) text(w io.Writer) {
+	fmt.Fprintf(w, "accepted as version %d (accept %s)\n", r.Version, r.AcceptID)
+}
+
+func (a *app) acceptCommand() *cobra.Command {
+	var timeout time.Duration
+	c := &cobra.Command{
+		Use: "accept PROPOSAL", Short: "Accept a proposal: it comes into force", Args: exactly("PROPOSAL"),
+		Long: "Accept a proposal: it comes into force on every entry instance. When the outcome is not known\n" +
+			"(code 407), run the command again with the same file to find out.",
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := readProposal(args[0])
+			if err != nil {
+				return err
+			}
+			store, err := a.openStore()
+			if err != nil {
+				return err
+			}
+			tried := p.Tried
+			p.Tried = true
+			if err := p.write(args[0]); err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(c.Context(), timeout)
+			defer cancel()
+			acceptor := &config.Acceptor{Store: store, Resume: tried, Progress: a.acceptProgress}
+			version, err := acceptor.Accept(ctx, p.Config, p.Base, p.AcceptID)
+			if err != nil {
+				return err
+			}
+			return a.print(acceptResult{version, p.AcceptID})
+		},
+	}
+	c.Flags().DurationVar(&timeout, "timeout", defaultAcceptTimeout, "time to find out the outcome")
+	return c
+}
+
+func (a *app) acceptProgress(written, total int) {
+	const every = 100
+	if written%every == 0 || written == total {
+		a.progress("wrote %d of %d service values", written, total)
+	}
+}
+
+// rejectResult tells that a proposal was discarded.
+type rejectResult struct {
+	Proposal string `json:"proposal"`
+}
+
+func (r rejectResult) text(w io.Writer) { fmt.Fprintf(w, "%s: rejected and removed\n", r.Proposal) }
+
+func (a *app) rejectCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "reject PROPOSAL", Short: "Reject a proposal: its file is removed, nothing else changes", Args: exactly("PROPOSAL"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			p, err := readProposal(args[0])
+			if err != nil {
+				return err
+			}
+			if p.Tried {
+				return result.Errorf(result.AcceptUnresolved,
+					"an accept of this proposal was started and may have taken effect; run accept again to find out, or remove the file")
+			}
+			if err := os.Remove(args[0]); err != nil {
+				return result.Errorf(result.SettingsInvalid, "remove proposal: %w", err)
+			}
+			return a.print(rejectResult{args[0]})
+		},
+	}
+}
--- /dev/null
+++ b/internal/ctl/timeline.go
@@ -0,0 +1,128 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/monsoonthread/monsoonthread/internal/timeline"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+)
+
+const defaultTimelineLimit = 1000
+
+// timelineResult holds the events of all instances in the order of their hybrid
+// logical clocks.
+type timelineResult struct {
+	Events  []timelineEvent `json:"events"`
+	Dropped uint64          `json:"dropped"` // events that instances no longer have
+	Errors  []string        `json:"errors,omitempty"`
+}
+
+type timelineEvent struct {
+	HLC      uint64   `json:"hlc"`
+	Time     string   `json:"time"`
+	Instance string   `json:"instance"`
+	Name     string   `json:"name"`
+	Fields   []string `json:"fields"`
+}
+
+func (r timelineResult) text(w io.Writer) {
+	for _, e := range r.Events {
+		fmt.Fprintf(w, "%s %d %s %s %s\n", e.Time, e.HLC, e.Instance, e.Name, strings.Join(e.Fields, " "))
+	}
+	if r.Dropped > 0 {
+		fmt.Fprintf(w, "%d older events are no longer kept\n", r.Dropped)
+	}
+	for _, err := range r.Errors {
+		fmt.Fprintln(w, err)
+	}
+}
+
+func (a *app) timelineCommand() *cobra.Command {
+	var after uint64
+	var since time.Duration
+	var limit uint32
+	c := &cobra.Command{
+		Use: "timeline", Short: "Show the events of all instances in one order", Args: exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := a.openFleet()
+			if err != nil {
+				return err
+			}
+			if since > 0 {
+				after = max(after, timeline.Timestamp(time.Now().Add(-since)))
+			}
+			r, err := f.timeline(c.Context(), after, limit)
+			if err != nil {
+				return err
+			}
+			return a.print(r)
+		},
+	}
+	c.Flags().Uint64Var(&after, "after", 0, "hybrid logical clock after which events are shown")
+	c.Flags().DurationVar(&since, "since", 0, "show the events of this last time")
+	c.Flags().Uint32Var(&limit, "limit", defaultTimelineLimit, "most events of one instance; 0 means all that it sends")
+	return c
+}
+
+// timeline merges the events of all instances. The limit of each instance takes its
+// oldest events after the given time, so events past the last one of an instance
+// that reached the limit are left out: between them, events could be missing.
+func (f *fleet) timeline(ctx context.Context, after uint64, limit uint32) (*timelineResult, error) {
+	found, err := f.discover(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r := &timelineResult{Events: []timelineEvent{}}
+	var addresses []string
+	for _, s := range found {
+		if s.err != nil {
+			r.Errors = append(r.Errors, s.err.Error())
+		} else {
+			addresses = append(addresses, s.address)
+		}
+	}
+	replies := make([]*peerpb.TimelineReply, len(addresses))
+	failures := make([]error, len(addresses))
+	f.each(addresses, func(i int, address string) {
+		failures[i] = f.call(ctx, address, func(ctx context.Context, c peerpb.OperatorClient) (err error) {
+			replies[i], err = c.Timeline(ctx, &peerpb.TimelineRequest{AfterHlc: after, Limit: limit})
+			return err
+		})
+	})
+	for _, err := range failures {
+		if err != nil {
+			r.Errors = append(r.Errors, err.Error())
+		}
+	}
+	r.merge(replies, limit)
+	return r, nil
+}
+
+func (r *timelineResult) merge(replies []*peerpb.TimelineReply, limit uint32) {
+	end := ^uint64(0)
+	for _, reply := range replies {
+		r.Dropped += reply.GetDropped()
+		events := reply.GetEvents()
+		if limit > 0 && len(events) >= int(limit) {
+			end = min(end, events[len(events)-1].Hlc)
+		}
+		for _, e := range events {
+			r.Events = append(r.Events, timelineEvent{
+				HLC: e.Hlc, Time: timeline.Time(e.Hlc).UTC().Format("2006-01-02T15:04:05.000Z"),
+				Instance: e.Instance, Name: e.Name, Fields: e.Fields,
+			})
+		}
+	}
+	r.Events = slices.DeleteFunc(r.Events, func(e timelineEvent) bool { return e.HLC > end })
+	slices.SortStableFunc(r.Events, func(a, b timelineEvent) int {
+		return cmp.Or(cmp.Compare(a.HLC, b.HLC), cmp.Compare(a.Instance, b.Instance))
+	})
+}
