Test decoders, validation, changes between versions and questionnaire mistakes

Cause: what is read from the store, peers and teams must be checked as a whole, and mistakes must name line, field and allowed values.

A value that is not a mapping no longer brings a list of missing fields.

Ruled out: nothing is known to fail.

--- /dev/null
+++ b/questionnaire/datadriven_test.go
@@ -0,0 +1,156 @@
+package questionnaire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const small = `deployment: shop
+failure_domains:
+  - name: laval
+  - name: levis
+    weight: 50
+services:
+  - name: orders
+    address: 192.0.2.1:5683
+    default_deadline: 2s
+    max_deadline: 10s
+    min_shares: {urgent: 20}
+    requests:
+      - {method: POST, path: /orders, urgency: urgent, idempotent: false}
+      - {method: GET, path: /stock, urgency: normal, idempotent: true, stream: true}
+    hosts:
+      - {name: orders-01, failure_domain: laval, address: "192.0.2.11:5683"}
+      - {name: orders-02, failure_domain: levis, address: "192.0.2.12:5683", relative_speed: 8, leaving: true}
+`
+
+// Guards against a mistake that is not reported, is reported without its line, field
+// and allowed values, or hides another one; and against a wrong difference. The
+// commands apply "replace|old|new" lines to a small questionnaire.
+func TestMistakesAndDifferences(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			text := d.Input
+			if d.Cmd != "parse-only" {
+				text = small
+				for _, line := range strings.Split(d.Input, "\n") {
+					if parts := strings.Split(line, "|"); len(parts) == 3 {
+						unescape := strings.NewReplacer(`\n`, "\n")
+						if !strings.Contains(text, unescape.Replace(parts[1])) {
+							d.Fatalf(t, "%q is not in the questionnaire", parts[1])
+						}
+						text = strings.Replace(text, unescape.Replace(parts[1]), unescape.Replace(parts[2]), 1)
+					}
+				}
+			}
+			a, err := Parse([]byte(text))
+			if err != nil {
+				if code := result.CodeOf(err); code != result.QuestionnaireInvalid {
+					d.Fatalf(t, "code %d", code)
+				}
+				return err.Error() + "\n"
+			}
+			return difference(t, a)
+		})
+	})
+}
+
+// difference generates the configuration and compares it with the small one.
+func difference(t *testing.T, a *Answers) string {
+	original, err := Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, err := Generate(original, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := Generate(a, before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	for _, c := range config.Diff(before, after) {
+		fmt.Fprintln(&out, c)
+	}
+	if out.Len() == 0 {
+		return "no changes\n"
+	}
+	return out.String()
+}
+
+// Guards against a dialogue that accepts a wrong answer, loses a right one, or never
+// ends when the answers end.
+func TestAsk(t *testing.T) {
+	answers := []string{
+		"Shop", "shop", // deployment
+		"0", "2", "laval", "", "laval", "levis", "50", // failure domains
+		"1", "orders", "192.0.2.1", "192.0.2.1:5683", "", "1h", "", "", // service; 1h is above the maximum of 10s
+		"90", "20", "", "5", // shares; the sum 115 is asked for again
+		"2", "POST", "/orders", "urgent", "", "", "false", // request kinds; idempotent has no default
+		"GET", "/stock", "normal", "true", "false", "true",
+		"1", "orders-01", "temple", "laval", "192.0.2.1:5683", "192.0.2.11:5683", "", "", "8", "30s", "", "none", "",
+	}
+	in := strings.Join(answers, "\n") + "\n"
+	var out bytes.Buffer
+	b, err := Ask(strings.NewReader(in), &out)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, &out)
+	}
+	a, err := Parse(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := a.Services[0]
+	got := fmt.Sprint(a.Deployment, a.Domains, s.MinShares, s.Routes, s.BackendServers, s.DefaultDeadline)
+	want := "shop[{laval 100} {levis 50}] [90 0 5] [{POST /orders urgent false false} {GET /stock normal true true}] " +
+		"[{orders-01 laval 192.0.2.11:5683 2 2000 800 30000 false /health }] 2000"
+	if got != want {
+		t.Fatalf("got  %s\nwant %s\n%s", got, want, &out)
+	}
+	for cut := range answers {
+		if _, err := Ask(strings.NewReader(strings.Join(answers[:cut], "\n")), &bytes.Buffer{}); result.CodeOf(err) != result.QuestionnaireInvalid {
+			t.Fatalf("answers end after %d: %v", cut, err)
+		}
+	}
+}
+
+// Guards against input that Parse does not survive, or accepts although no valid
+// configuration can be generated from it.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(small))
+	for _, name := range Templates {
+		f.Add(Template(name))
+	}
+	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("deployment: [x\n"))
+	f.Add([]byte(strings.Replace(small, "8,", "1e400,", 1)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := Parse(b)
+		var mistakes *Errors
+		if err != nil {
+			if !errors.As(err, &mistakes) || len(mistakes.List) == 0 {
+				t.Fatal(err)
+			}
+			return
+		}
+		if _, err := Generate(a, nil); err != nil {
+			t.Fatalf("%v\n%s", err, b)
+		}
+		written, err := Format(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(written); err != nil {
+			t.Fatalf("%v\n%s", err, written)
+		}
+	})
+}
--- a/questionnaire/parse.go
+++ b/questionnaire/parse.go
@@ -82,7 +82,7 @@
 	o := r.object("", n, "deployment", "failure_domains", "services")
 	a := &Answers{Deployment: o.name("deployment")}
 	c := &checker{reader: r, domains: uniqueNames{}, services: uniqueNames{}, hosts: uniqueNames{}, addresses: map[netip.AddrPort]place{}}
-	for i, n := range o.list("failure_domains", "list of failure domains") {
+	for i, n := range o.list("failure_domains", "list of at least one failure domain") {
 		d := r.object(o.element("failure_domains", i), n, "name", "weight")
 		domain := config.Domain{Name: d.name("name"), Weight: uint32(d.integer("weight", DefaultDomainWeight, 0, config.MaxWeight, false))}
 		c.domains.add(d, domain.Name)
@@ -92,7 +92,7 @@
 	if len(a.Domains) > 0 && !slices.ContainsFunc(a.Domains, noWeight) {
 		o.invalid("failure_domains", "at least one weight above 0", "no failure domain has weight")
 	}
-	for i, n := range o.list("services", "list of services") {
+	for i, n := range o.list("services", "list of at least one service") {
 		a.Services = append(a.Services, c.service(o.element("services", i), n))
 	}
 	return a
@@ -154,7 +154,7 @@
 	}
 	c.shares(o, &s)
 	c.requests(o, &s)
-	for i, n := range o.list("hosts", "list of hosts") {
+	for i, n := range o.list("hosts", "list of at least one host") {
 		s.BackendServers = append(s.BackendServers, c.host(o.element("hosts", i), n))
 	}
 	return s
@@ -180,7 +180,7 @@
 func (c *checker) requests(o *object, s *config.Service) {
 	type kind struct{ method, path string }
 	seen := make(map[kind]int)
-	for i, n := range o.list("requests", "list of request kinds") {
+	for i, n := range o.list("requests", "list of at least one request kind") {
 		q := c.object(o.element("requests", i), n, "method", "path", "urgency", "idempotent", "stream")
 		r := config.Route{
 			Method:     q.choice("method", config.Methods),
--- a/questionnaire/reader.go
+++ b/questionnaire/reader.go
@@ -24,18 +24,20 @@
 // what is wrong with it.
 type object struct {
 	*reader
-	path   string
-	line   int
+	path string
+	line int
+	// values is nil if the node is not a mapping; missing fields are then not reported.
 	values map[string]*yaml.Node
 }
 
 // object returns the mapping at n. It reports unknown and repeated fields.
 func (r *reader) object(path string, n *yaml.Node, fields ...string) *object {
-	o := &object{reader: r, path: path, line: n.Line, values: make(map[string]*yaml.Node)}
+	o := &object{reader: r, path: path, line: n.Line}
 	if n.Kind != yaml.MappingNode {
 		r.addf(n.Line, pathOr(path, "questionnaire"), "a mapping with "+strings.Join(fields, ", "), "%s is not a mapping", describe(n))
 		return o
 	}
+	o.values = make(map[string]*yaml.Node)
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		key, value := n.Content[i], n.Content[i+1]
 		switch field := o.field(key.Value); {
@@ -77,6 +79,9 @@
 	case yaml.MappingNode:
 		return "a mapping"
 	case yaml.SequenceNode:
+		if len(n.Content) == 0 {
+			return "an empty list"
+		}
 		return "a list"
 	case yaml.AliasNode:
 		return "an alias"
@@ -97,7 +102,7 @@
 	n := o.values[name]
 	switch {
 	case n == nil:
-		if required {
+		if required && o.values != nil {
 			o.addf(o.line, o.field(name), allowed, "required field is missing")
 		}
 		return "", false
@@ -223,11 +228,13 @@
 func (o *object) list(field, allowed string) []*yaml.Node {
 	n := o.values[field]
 	if n == nil {
-		o.addf(o.line, o.field(field), allowed, "required field is missing")
+		if o.values != nil {
+			o.addf(o.line, o.field(field), allowed, "required field is missing")
+		}
 		return nil
 	}
 	if n.Kind != yaml.SequenceNode || len(n.Content) == 0 {
-		o.addf(n.Line, o.field(field), allowed, "%s is not a list with at least one entry", describe(n))
+		o.addf(n.Line, o.field(field), allowed, "%s is not allowed here", describe(n))
 		return nil
 	}
 	return n.Content
