Answer a shed request once

After a shed answer the scheduler runs the request again by itself, and the daemon also answered the issuer with 105, which retried elsewhere: two runs of one permit. Ruled out: message ID reuse (each server saw each ID once), the issuer's record (one Run for each nonce), the caller's retries (they use a new permit only after a refusal). Change: the daemon leaves a shed request to the scheduler. Permits are found by the issuer's ID only, since its incarnation grows while the process can still verify them.

--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -273,7 +273,11 @@
 		d.schedulers.with(sch, func(s *dispatch.Scheduler) []dispatch.Action {
 			return s.Finish(time.Now(), run.Grant, o, took)
 		})
-		d.answerJob(job, sch, out)
+		// After a shed answer the scheduler itself runs the request on another server
+		// or refuses it. Answering here too would let the request run twice.
+		if o != backend.Shed {
+			d.answerJob(job, sch, out)
+		}
 	}
 	if d.members.fenced(now) {
 		finish(backend.Shed, outcome{err: result.Errorf(result.Fenced, "this instance is rejoining")})
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -150,7 +150,8 @@
 }
 
 // findIssuer returns the live instance that a permit names. A leaving instance still
-// serves its permits.
+// serves its permits. The incarnation is left to the issuer: it grows when the instance
+// refutes a suspicion or leaves, while the same process can still verify its permits.
 func findIssuer(v *membership.View, ref permit.Ref) (membership.Entry, bool) {
 	for i := range v.Domains {
 		dom := &v.Domains[i]
@@ -159,7 +160,7 @@
 		}
 		for j := range dom.Members {
 			e := &dom.Members[j]
-			if permit.InstanceHash(e.ID) == ref.InstanceHash && e.State != membership.Dead && e.Incarnation == ref.Incarnation {
+			if permit.InstanceHash(e.ID) == ref.InstanceHash && e.State != membership.Dead {
 				return *e, true
 			}
 		}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -87,7 +87,8 @@
 		case membership.ViewChanged:
 			d.viewChanged(a.View)
 		case membership.Rejoined:
-			d.issuer.rejoin(a.Incarnation)
+			// The issuer keeps its permits: they were given and are verified by this
+			// process alone, so a pause cannot let another instance run them.
 			d.event("instance_rejoined", timeline.Field{Key: logging.Incarnation, Value: strconv.FormatUint(a.Incarnation, 10)})
 		case membership.HigherConfig:
 			select {
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -404,12 +404,6 @@
 	i.issuer.Expire(now)
 }
 
-func (i *lockedIssuer) rejoin(incarnation uint64) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.issuer.SetIncarnation(incarnation)
-}
-
 // lockedBudget holds a retry budget for each service.
 type lockedBudget struct {
 	mu      sync.Mutex
