--- a/permit/permit.go
+++ b/permit/permit.go
@@ -156,7 +156,8 @@
 }
 
 // NewIssuer returns an Issuer with a key read from entropy. The key is never
-// stored, so no other process can issue or verify its permits.
+// stored, so no other process can issue or verify its permits. A process uses one
+// Issuer for its whole life: nonces are unique only within an Issuer.
 func NewIssuer(cfg Config, instance string, incarnation uint64, entropy io.Reader) (*Issuer, error) {
 	key := make([]byte, sha256.Size+8)
 	if _, err := io.ReadFull(entropy, key); err != nil {
@@ -213,16 +214,12 @@
 	if r, ok := i.records[ref.Nonce]; ok {
 		return i.repeat(r, request, waiter)
 	}
-	if ref.Nonce <= i.floor {
-		return nil, result.Errorf(result.TableFull, "the permit was withdrawn because the record table was full")
-	}
-	if i.full() && !i.evictRefused() {
-		i.floor = max(i.floor, ref.Nonce)
-		return nil, result.Errorf(result.TableFull, "%d permitted requests are on record", len(i.records))
+	if ref.Nonce > i.floor && i.full() && !i.evictRefused() {
+		i.floor = ref.Nonce
 	}
 	// Evicting may have raised the floor past this permit.
 	if ref.Nonce <= i.floor {
-		return nil, result.Errorf(result.TableFull, "the permit was withdrawn because the record table was full")
+		return nil, result.Errorf(result.TableFull, "the permit is withdrawn: %d permitted requests are on record", len(i.records))
 	}
 	i.records[ref.Nonce] = &record{nonce: ref.Nonce, request: request, waiters: []any{waiter}}
 	return Run{Nonce: ref.Nonce}, nil
