--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -221,13 +221,18 @@
 }
 
 // Guards against a flood of requests that are refused as not run, which would fill
-// the records and shut out a caller that repeats its request promptly.
+// the records and shut out a caller that repeats its request promptly, and against a
+// refused request that runs once its record has been evicted.
 func TestRefusedRecordsGiveWay(t *testing.T) {
 	i := newIssuer(t, Config{MaxRecords: 100}, 1)
 	now := start
+	var first []byte
 	for n := range 1000 {
 		now = now.Add(time.Millisecond)
 		b := i.Issue(now, 1, 7)
+		if n == 0 {
+			first = b
+		}
 		d, err := i.Begin(now, b, 1, 7, uint64(n), nil)
 		if err != nil {
 			t.Fatalf("request %d: %v", n, err)
@@ -237,6 +242,9 @@
 	if i.Pending() != 100 {
 		t.Fatalf("%d records", i.Pending())
 	}
+	if d, err := i.Begin(now, first, 1, 7, 0, nil); result.CodeOf(err) != result.TableFull {
+		t.Fatalf("refused request after eviction: %v, %v", d, err)
+	}
 }
 
 // Guards against records that outlive their permits when nothing calls Expire.
