Move streams off suspect backend servers and test shed requests

Cause: after a kill, streams of the dead server stayed silent for 6.3 s: only the states draining and out moved them, and out needs timeouts of own requests. Ruled out: the registration path (streams of a drained server moved within 0.5 s). Change: a suspect server loses its streams as well; make before break keeps that free of harm. With no server left by the notices, those that are not leaving are used. Status lists only servers that the instance dispatches. The new test fails without the rule that the scheduler alone answers shed requests.

--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -339,11 +339,16 @@
 	}
 }
 
-// roleOwner is the role of the instance that dispatches a server.
-const roleOwner = "owner"
+// The roles of an instance towards a server, as the scheduler reports them.
+const (
+	roleOwner    = "owner"
+	roleReleased = "released"
+)
 
+// serverAvailable reports whether streams may stay on a server. They leave a suspect
+// one too: a move makes before it breaks, so a wrong suspicion costs no notification.
 func serverAvailable(state string) bool {
-	return state != backend.Draining.String() && state != backend.Out.String()
+	return state != backend.Draining.String() && state != backend.Out.String() && state != backend.Suspect.String()
 }
 
 // handleHandoverRequest releases servers to the instance that dispatches them now.
--- /dev/null
+++ b/internal/daemon/failure_test.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/caller"
+	"github.com/monsoonthread/monsoonthread/internal/standin/backendserver"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// order is the outcome of one non-idempotent request.
+type order struct {
+	id   string
+	err  error
+	code caller.Code
+}
+
+// placeOrders sends n orders over a few flows and returns their outcomes.
+func (d *deployment) placeOrders(prefix string, n int) []order {
+	d.t.Helper()
+	const flows = 8
+	orders := make([]order, n)
+	var wg sync.WaitGroup
+	for f := range flows {
+		c, err := caller.Dial(caller.Config{}, d.address("orders"))
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		wg.Go(func() {
+			defer c.Close()
+			for i := f; i < n; i += flows {
+				o := &orders[i]
+				o.id = fmt.Sprintf("%s-%d", prefix, i)
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				r, err := c.Do(ctx, caller.Request{Method: "POST", Path: "/orders/lines", Payload: []byte("id=" + o.id)})
+				cancel()
+				if o.err = err; err == nil {
+					o.code = r.Code
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return orders
+}
+
+// checkOrders compares the outcomes with the execution log: no order may run twice,
+// no refused one may run, and no successful one may be missing.
+func (d *deployment) checkOrders(orders []order) (done, refused, unknown int) {
+	d.t.Helper()
+	runs := map[string]int{}
+	entries, _ := d.hosts.Log().After(0)
+	for _, e := range entries {
+		runs[e.PayloadID]++
+	}
+	for _, o := range orders {
+		n := runs[o.id]
+		switch code := result.CodeOf(o.err); {
+		case n > 1:
+			d.t.Errorf("order %s ran %d times", o.id, n)
+		case code.NotRun():
+			refused++
+			if n > 0 {
+				d.t.Errorf("order %s was refused (%v) and ran", o.id, o.err)
+			}
+		case o.err == nil && o.code.Success():
+			done++
+			if n == 0 {
+				d.t.Errorf("order %s succeeded without an execution", o.id)
+			}
+		default:
+			unknown++
+		}
+	}
+	return done, refused, unknown
+}
+
+// Guards against a shed request that the scheduler runs elsewhere while its issuer
+// retries it too. Without the rule in runOnServer orders run twice here.
+func TestShedRequestsRunAtMostOnce(t *testing.T) {
+	d := newDeployment(t)
+	d.startAll()
+	for i := range 15 {
+		if i%3 != 0 {
+			s, _ := d.hosts.Server(fmt.Sprintf("orders-%02d", i))
+			s.SetBehaviour(backendserver.Behaviour{ShedAll: true})
+		}
+	}
+	done, refused, unknown := d.checkOrders(d.placeOrders("shed", 400))
+	if done < 200 || unknown > 0 {
+		t.Errorf("%d done, %d refused, %d unknown", done, refused, unknown)
+	}
+}
--- a/internal/daemon/notices.go
+++ b/internal/daemon/notices.go
@@ -17,23 +17,29 @@
 // for the choice of a stream's server.
 type serverNotices struct {
 	mu        sync.RWMutex
-	down      map[string]bool
+	down      map[string]bool // not available according to its dispatcher
+	draining  map[string]bool
 	listed    map[string]bool // leaving according to the list
 	summaries map[string]time.Time
 }
 
 func newServerNotices() *serverNotices {
-	return &serverNotices{down: map[string]bool{}, listed: map[string]bool{}, summaries: map[string]time.Time{}}
+	return &serverNotices{down: map[string]bool{}, draining: map[string]bool{}, listed: map[string]bool{}, summaries: map[string]time.Time{}}
 }
 
 func (n *serverNotices) set(notice *peerpb.ServerNotice) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if notice.Available {
-		delete(n.down, notice.Server)
+	setMember(n.down, notice.Server, !notice.Available)
+	setMember(n.draining, notice.Server, notice.Draining)
+}
+
+func setMember(set map[string]bool, name string, member bool) {
+	if member {
+		set[name] = true
 		return
 	}
-	n.down[notice.Server] = true
+	delete(set, name)
 }
 
 // setListed records the list's state and reports whether it changed.
@@ -43,11 +49,7 @@
 	if n.listed[name] == leaving {
 		return false
 	}
-	if leaving {
-		n.listed[name] = true
-	} else {
-		delete(n.listed, name)
-	}
+	setMember(n.listed, name, leaving)
 	return true
 }
 
@@ -68,6 +70,13 @@
 	return n.down[name] || n.listed[name]
 }
 
+// leaves reports whether a server is on its way out by anybody's word.
+func (n *serverNotices) leaves(name string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.draining[name] || n.listed[name]
+}
+
 func (n *serverNotices) summarySent(to string, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -48,7 +48,11 @@
 	now := time.Now()
 	for _, sch := range d.schedulers.all() {
 		sch.mu.Lock()
-		reply.Servers = append(reply.Servers, sch.scheduler.Status(now)...)
+		for _, st := range sch.scheduler.Status(now) {
+			if st.Role != roleReleased || st.Running > 0 {
+				reply.Servers = append(reply.Servers, st)
+			}
+		}
 		sch.mu.Unlock()
 	}
 	return reply, nil
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -492,13 +492,22 @@
 }
 
 // computedServer returns the best available backend server for a flow by weighted
-// rendezvous, "" if there is none. It ignores the servers in skip.
+// rendezvous, "" if there is none. It ignores the servers in skip. When the notices
+// leave no server, those that are not leaving are used all the same: a misleading
+// health endpoint must not end every stream of a service.
 func (t *streamTable) computedServer(svc *service, hash uint64, skip []string) string {
+	fallback := ""
 	for _, i := range placement.Rank(hash, svc.members, nil) {
 		name := svc.members[i].ID
-		if !contains(skip, name) && !svc.BackendServers[i].Leaving && !t.daemon.notices.unavailable(name) {
+		if contains(skip, name) || svc.BackendServers[i].Leaving {
+			continue
+		}
+		if !t.daemon.notices.unavailable(name) {
 			return name
 		}
+		if fallback == "" && !t.daemon.notices.leaves(name) {
+			fallback = name
+		}
 	}
-	return ""
+	return fallback
 }
