Complete membership: gossip, summaries of domains, fencing, duplicate IDs

Cause: the first version pinged every listed instance and knew other domains only from the list; it could not refute, heal, fence or stay within the control budget. Ruled out: sending whole summaries at an interval (4 KB for each of 18 domains, twice a second, is 140 KB/s); versions counted by a delegate, because two delegates would count differently (digests of the content are used instead, with differences from remembered digests); wall-clock incarnations on a rejoin, because a resumed process would take the ID from its replacement; dead entries in whole states of peers taken as they are, because a healed partition would then kill the members of both sides. Change: random-order heartbeats with piggybacked updates, indirect probes, suspicion with direct evidence, refutation, tombstones and candidates, comparison of digests inside a domain, delegates between domains, reachability records, gaps of the own clock, yielding to a later process with the same ID, vacancy by the instance list, timeline tests. Tests: 16 tests with a virtual clock and network. Seen red on the way: comparisons of state that went only to dead peers, an own address marked as old, and a yielded process that took the ID over after a pause. Conclusion: the interface is unchanged; control traffic is measured next.

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -1,48 +1,468 @@
 package membership
 
 import (
-	"math/rand"
+	"flag"
+	"fmt"
+	"runtime/debug"
 	"testing"
 	"time"
 
-	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+	"pgregory.net/rapid"
 )
 
-// Guards against a machine that never learns of a listed instance, or keeps a dead one.
-func TestTwoMachinesJoinAndDetectDeath(t *testing.T) {
-	now := time.UnixMilli(1_000_000)
-	domains := []DomainConfig{{"laval", 1}}
-	ms := map[string]*Machine{}
-	var list []ListEntry
-	for i, id := range []string{"a", "b"} {
-		self := Instance{ID: id, Domain: "laval", PeerAddress: id, Weight: 1}
-		ms[id] = New(Config{Self: self, Domains: domains}, rand.New(rand.NewSource(int64(i))), now)
-		list = append(list, ListEntry{Instance: self})
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// Guards against views that stay different after crashes, restarts, leaves and pauses
+// under loss and reordering.
+func TestViewsConvergeAfterChurn(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := newNetwork(rt, rapid.Int64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "domains"), rapid.IntRange(1, 10).Draw(rt, "members"))
+		n.loss = rapid.Float64Range(0, 0.1).Draw(rt, "loss")
+		n.maxDelay = rapid.IntRange(0, 5).Draw(rt, "delay")
+		n.hintAll()
+		left := map[*node]bool{}
+		for range rapid.IntRange(1, 8).Draw(rt, "events") {
+			n.run(time.Duration(rapid.IntRange(10, 3000).Draw(rt, "gap")) * time.Millisecond)
+			live := n.live()
+			nd := live[rapid.IntRange(0, len(live)-1).Draw(rt, "node")]
+			switch event := rapid.IntRange(0, 4).Draw(rt, "event"); {
+			case event == 0 && len(live) > 1:
+				nd.up = false
+			case event == 1:
+				n.start(nd.inst.ID, nd.inst.Domain, nd.inst.PeerAddress)
+				delete(left, nd)
+			case event == 2:
+				n.call(nd, func() []Action { return nd.Leave(n.now) })
+				left[nd] = true
+			case event == 3:
+				nd.paused = !nd.paused
+			}
+			if rapid.Bool().Draw(rt, "hint") {
+				n.hintAll()
+			}
+		}
+		for _, nd := range n.nodes {
+			nd.paused = false
+		}
+		n.hintAll()
+		n.converge(20*time.Second, func(_, nd *node) bool { return !left[nd] })
+	})
+}
+
+// Guards against false deaths that are not refuted, at 20% loss in both directions.
+func TestReachableInstanceIsNotDeadForGood(t *testing.T) {
+	n := newNetwork(t, 3, 1, 30)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	n.loss = 0.2
+	deadFor := map[string]int{}
+	longest, deaths, declared := 0, 0, 0
+	for range 600 {
+		n.run(100 * time.Millisecond)
+		for _, o := range n.nodes {
+			for _, e := range o.View().Domains[0].Members {
+				key := o.inst.ID + e.ID
+				if e.State != Dead {
+					delete(deadFor, key)
+					continue
+				}
+				deadFor[key]++
+				deaths++
+				longest = max(longest, deadFor[key])
+			}
+			for _, a := range o.actions {
+				if d, ok := a.(Diagnostic); ok && d.Name == "membership-dead" {
+					declared++
+				}
+			}
+			o.actions = nil
+		}
+	}
+	t.Logf("60 s: %d false declarations, %d observer-intervals of 100 ms dead, longest %d", declared, deaths, longest)
+	if longest > 30 {
+		t.Errorf("an alive instance was dead in one view for %d00 ms", longest)
+	}
+	n.loss = 0
+	n.converge(5*time.Second, nil)
+}
+
+// Guards against a crashed instance that stays in the placement or in the views.
+func TestCrashedInstanceIsRemoved(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := newNetwork(rt, rapid.Int64().Draw(rt, "seed"), 1, rapid.IntRange(2, 40).Draw(rt, "members"))
+		n.hintAll()
+		n.converge(10*time.Second, nil)
+		n.loss = rapid.Float64Range(0, 0.05).Draw(rt, "loss")
+		n.nodes[0].up = false
+		n.converge(5*time.Second, nil)
+		n.run(65 * time.Second)
+		for _, nd := range n.live() {
+			if e, ok := nd.View().Member(n.nodes[0].inst.ID); ok {
+				rt.Fatalf("%s still has the crashed instance as %v", nd.inst.ID, e.State)
+			}
+		}
+	})
+}
+
+// Guards against flows that are sent to a domain that is cut off, and against a cut
+// that outlasts the network failure. Members that died or came during the cut count.
+func TestDomainCutAndHeal(t *testing.T) {
+	n := newNetwork(t, 5, 3, 6)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	n.run(5 * time.Second)
+	n.cut = func(a, b *node) bool { return (a.inst.Domain == "dom00") != (b.inst.Domain == "dom00") }
+	n.nodes[1].up = false
+	n.start("dom00-late", "dom00", "10.0.1.1:7000")
+	n.call(n.nodes[2], func() []Action { return n.nodes[2].Hint(n.now, n.list()) })
+	took := n.converge(domainTimeout+3*time.Second, func(o, nd *node) bool {
+		return (o.inst.Domain == "dom00") == (nd.inst.Domain == "dom00")
+	})
+	n.run(70 * time.Second) // longer than the dead retention
+	n.cut = nil
+	t.Logf("cut seen after %v, healed after %v", took, n.converge(15*time.Second, nil))
+}
+
+// Guards against two halves of a domain that do not find each other again: shorter than
+// the dead retention, by pings to dead members; longer, by pings to forgotten ones.
+func TestSplitInsideDomainHeals(t *testing.T) {
+	for _, length := range []time.Duration{20 * time.Second, 100 * time.Second} {
+		n := newNetwork(t, 7, 1, 10)
+		n.hintAll()
+		n.converge(10*time.Second, nil)
+		half := map[*node]bool{}
+		for _, nd := range n.nodes[:4] {
+			half[nd] = true
+		}
+		n.cut = func(a, b *node) bool { return half[a] != half[b] }
+		n.converge(6*time.Second, func(o, nd *node) bool { return half[o] == half[nd] })
+		n.run(length)
+		n.cut = nil
+		t.Logf("cut for %v healed after %v", length, n.converge(15*time.Second, nil))
+		n.run(5 * time.Second)
+		for _, nd := range n.nodes {
+			if length < 60*time.Second && nd.rejoins == 0 {
+				t.Errorf("%s was declared dead by the other half and has not rejoined", nd.inst.ID)
+			}
+		}
+	}
+}
+
+// Guards against an instance that dispatches, answers or declares others dead after a
+// pause before it is fenced, and against a rejoin without a higher incarnation.
+func TestPauseFencesFirst(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := newNetwork(rt, rapid.Int64().Draw(rt, "seed"), rapid.IntRange(1, 2).Draw(rt, "domains"), rapid.IntRange(2, 8).Draw(rt, "members"))
+		n.hintAll()
+		n.converge(10*time.Second, nil)
+		nd := n.nodes[0]
+		before := nd.self.Incarnation
+		nd.paused = true
+		n.run(time.Duration(rapid.IntRange(1300, 20000).Draw(rt, "pause")) * time.Millisecond)
+		if !nd.Fenced(n.now) {
+			rt.Fatal("not fenced at the end of the pause")
+		}
+		nd.actions = nil
+		calls := []func() []Action{
+			func() []Action { return nd.Tick(n.now) },
+			func() []Action {
+				return nd.Receive(n.now, n.nodes[1].inst.ID, n.nodes[1].message(kindPing, 1, n.nodes[1].byID[nd.inst.ID]))
+			},
+			func() []Action { return nd.Hint(n.now, n.list()) },
+		}
+		n.call(nd, func() []Action {
+			actions := calls[rapid.IntRange(0, len(calls)-1).Draw(rt, "call")]()
+			if d, ok := actions[0].(Diagnostic); !ok || d.Name != "membership-fenced" {
+				rt.Fatalf("first action after the pause is %#v", actions[0])
+			}
+			return actions
+		})
+		if !nd.Fenced(n.now) || nd.rejoins > 0 {
+			rt.Fatal("fence ended in the call that found the gap")
+		}
+		nd.paused = false
+		n.run(3 * time.Second)
+		if nd.rejoins == 0 || nd.rejoined <= before || nd.Fenced(n.now) {
+			rt.Fatalf("%d rejoins with incarnation %d after %d", nd.rejoins, nd.rejoined, before)
+		}
+		for _, a := range nd.actions {
+			if d, ok := a.(Diagnostic); ok && (d.Name == "membership-dead" || d.Name == "membership-suspect") {
+				rt.Fatalf("paused instance blamed another one: %v", d)
+			}
+		}
+		n.converge(5*time.Second, nil)
+	})
+}
+
+// Guards against a restarted instance that the others take for its earlier run, also
+// when its wall clock was set back.
+func TestRestartWithSameID(t *testing.T) {
+	for _, back := range []time.Duration{0, time.Hour} {
+		n := newNetwork(t, 9, 2, 5)
+		n.hintAll()
+		n.converge(10*time.Second, nil)
+		old := n.nodes[0]
+		n.now = n.now.Add(-back)
+		nd := n.start(old.inst.ID, old.inst.Domain, old.inst.PeerAddress)
+		n.now = n.now.Add(back)
+		nd.Machine.last = n.now // its clock differs only in the incarnation
+		nd.version, nd.rejoined = 0, 0
+		n.call(nd, func() []Action { return nd.Hint(n.now, n.list()) })
+		n.run(3 * time.Second)
+		if nd.Fenced(n.now) || nd.self.Incarnation <= old.self.Incarnation || back > 0 && nd.rejoins == 0 {
+			t.Errorf("clock back %v: incarnation %d after %d, %d rejoins", back, nd.self.Incarnation, old.self.Incarnation, nd.rejoins)
+		}
+		for _, o := range n.live() {
+			if e, _ := o.View().Member(nd.inst.ID); e.Incarnation != nd.self.Incarnation || e.State != Alive {
+				t.Errorf("%s has incarnation %d (%v), want %d", o.inst.ID, e.Incarnation, e.State, nd.self.Incarnation)
+			}
+		}
 	}
-	var deliver func(from string, as []Action)
-	deliver = func(from string, as []Action) {
-		for _, a := range as {
-			if s, ok := a.(Send); ok && ms[s.To.ID] != nil {
-				deliver(s.To.ID, ms[s.To.ID].Receive(now, from, (*peerpb.Membership)(s.Message)))
+}
+
+// Guards against two processes with one ID that both dispatch. The one that was started
+// later stays; the other one is fenced and takes over when the later one dies.
+func TestTwoProcessesWithOneID(t *testing.T) {
+	for name, earlier := range map[string]time.Duration{"later": time.Second, "same millisecond": 0} {
+		n := newNetwork(t, 11, 2, 4)
+		n.hintAll()
+		n.run(earlier)
+		first := n.nodes[0]
+		second := n.start(first.inst.ID, first.inst.Domain, "10.0.9.9:7000")
+		n.call(second, func() []Action { return second.Hint(n.now, n.list()) })
+		n.run(5 * time.Second)
+		if !first.Fenced(n.now) || second.Fenced(n.now) {
+			t.Fatalf("%s: first fenced %v, second fenced %v", name, first.Fenced(n.now), second.Fenced(n.now))
+		}
+		for _, o := range n.live() {
+			if e, _ := o.View().Member(first.inst.ID); o != first && e.PeerAddress != second.inst.PeerAddress {
+				t.Errorf("%s: %s has address %s", name, o.inst.ID, e.PeerAddress)
 			}
 		}
+		first.paused = true // must not come back as the owner after a pause
+		n.run(5 * time.Second)
+		first.paused = false
+		n.run(3 * time.Second)
+		if !first.Fenced(n.now) || second.Fenced(n.now) {
+			t.Fatalf("%s: after a pause first fenced %v, second fenced %v", name, first.Fenced(n.now), second.Fenced(n.now))
+		}
+		second.up = false
+		n.run(10 * time.Second)
+		if first.Fenced(n.now) {
+			t.Errorf("%s: first did not take over", name)
+		}
+		n.converge(5*time.Second, nil)
+	}
+}
+
+// Guards against new flows at a leaving instance, and against one that leaves because of
+// an old list entry.
+func TestLeaving(t *testing.T) {
+	n := newNetwork(t, 13, 3, 8)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	leaving := map[*node]bool{n.nodes[0]: true, n.nodes[9]: true}
+	n.call(n.nodes[0], func() []Action { return n.nodes[0].Leave(n.now) })
+	list := n.list()
+	list[9].Leaving = true // shown as not leaving before
+	n.call(n.nodes[9], func() []Action { return n.nodes[9].Hint(n.now, list) })
+	fresh := n.start("dom00-new", "dom00", "10.0.1.1:7000")
+	list = append(list, ListEntry{fresh.inst, true}) // from an earlier run
+	n.call(fresh, func() []Action { return fresh.Hint(n.now, list) })
+	t.Logf("leaving seen everywhere after %v", n.converge(2*time.Second, func(_, nd *node) bool { return !leaving[nd] }))
+	for _, o := range n.nodes[:8] {
+		if e, _ := o.View().Member(n.nodes[0].inst.ID); e.State != Leaving {
+			t.Errorf("%s has the leaving instance as %v", o.inst.ID, e.State)
+		}
+	}
+}
+
+// Guards against a list that removes answering instances, or whose mark of a leaving
+// instance is ignored when that one also fails to answer.
+func TestListIsOnlyAHint(t *testing.T) {
+	n := newNetwork(t, 15, 2, 4)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	list := n.list()
+	for i := range list {
+		list[i].Leaving = i != 0
+	}
+	for range 20 {
+		n.call(n.nodes[0], func() []Action { return n.nodes[0].Hint(n.now, list[:4]) })
+		n.run(500 * time.Millisecond)
+		if why := n.difference(nil); why != "" {
+			t.Fatal(why)
+		}
 	}
-	deliver("a", ms["a"].Hint(now, list))
-	for i := range 200 {
-		now = now.Add(50 * time.Millisecond)
-		for _, id := range []string{"a", "b"} {
-			if ms[id] != nil {
-				deliver(id, ms[id].Tick(now))
+	n.nodes[1].up = false
+	n.run(900 * time.Millisecond)
+	if e, _ := n.nodes[0].View().Member(n.nodes[1].inst.ID); e.State != Leaving {
+		t.Errorf("listed leaving instance that does not answer is %v", e.State)
+	}
+}
+
+// Guards against a configuration version that does not reach every instance, or whose
+// arrival is not seen by the others.
+func TestConfigVersionSpreads(t *testing.T) {
+	n := newNetwork(t, 17, 4, 10)
+	n.loss = 0.05
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	for version := uint64(1); version <= 3; version++ {
+		n.nodes[n.rng.Intn(len(n.nodes))].SetConfigVersion(version)
+		n.run(3 * time.Second)
+		for _, nd := range n.nodes {
+			if nd.config != version {
+				t.Fatalf("%s is at configuration %d after 3 s, want %d", nd.inst.ID, nd.config, version)
 			}
 		}
-		if i == 40 {
-			if e, ok := ms["a"].View().Member("b"); !ok || e.State != Alive {
-				t.Fatalf("b is %v, %v at a", e, ok)
+		n.run(5 * time.Second)
+		for _, nd := range n.nodes {
+			for _, d := range nd.View().Domains {
+				for _, e := range d.Members {
+					if e.ConfigVersion != version {
+						t.Fatalf("%s has %s at configuration %d, want %d", nd.inst.ID, e.ID, e.ConfigVersion, version)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a takeover of servers whose domain may be cut off and dispatching, and
+// against servers that nobody dispatches when the domain is gone.
+func TestDispatcherOfVacantDomain(t *testing.T) {
+	n := newNetwork(t, 19, 3, 3)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	o := n.nodes[0]
+	listed := n.list()
+	for _, nd := range n.nodes[6:] {
+		nd.up = false
+	}
+	n.run(10 * time.Second)
+	n.call(o, func() []Action { return o.Hint(n.now, listed) })
+	if e, ok := o.View().Dispatcher("dom02", "server"); !ok || e.Domain != "dom02" {
+		t.Errorf("server of an unreachable listed domain is dispatched by %v", e)
+	}
+	n.hintAll()
+	e, ok := o.View().Dispatcher("dom02", "server")
+	for _, nd := range n.live() {
+		if got, _ := nd.View().Dispatcher("dom02", "server"); !ok || e.Domain == "dom02" || got.ID != e.ID {
+			t.Errorf("server of a vacant domain is dispatched by %v and %v", got.ID, e.ID)
+		}
+	}
+	for _, nd := range n.nodes[6:] {
+		n.start(nd.inst.ID, nd.inst.Domain, nd.inst.PeerAddress)
+	}
+	n.call(n.nodes[len(n.nodes)-1], func() []Action { return n.nodes[len(n.nodes)-1].Hint(n.now, listed) })
+	n.converge(10*time.Second, nil)
+	if e, _ := o.View().Dispatcher("dom02", "server"); e.Domain != "dom02" {
+		t.Errorf("server of a domain that returned is dispatched by %s", e.ID)
+	}
+}
+
+// Guards against a domain that counts as unreachable because both its delegates crashed.
+func TestBothDelegatesCrash(t *testing.T) {
+	n := newNetwork(t, 21, 3, 8)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	n.run(2 * time.Second)
+	for _, d := range n.nodes[0].own.delegates {
+		n.byAddr[d.PeerAddress].up = false
+	}
+	for range 80 {
+		n.run(100 * time.Millisecond)
+		for _, nd := range n.live() {
+			if d := nd.View().domain("dom00"); !d.Reachable {
+				t.Fatalf("%s holds dom00 for unreachable", nd.inst.ID)
 			}
-			delete(ms, "b")
 		}
 	}
-	if e, _ := ms["a"].View().Member("b"); e.State != Dead {
-		t.Fatalf("b is %v after 8 s of silence", e.State)
+	n.converge(time.Second, nil)
+}
+
+// Guards against state that grows with what peers send, and against lookups that
+// allocate.
+func TestBoundsAndAllocations(t *testing.T) {
+	n := newNetwork(t, 23, 3, 8)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	n.run(20 * time.Second)
+	nd := n.nodes[0]
+	if len(nd.queue) > 0 {
+		t.Errorf("%d updates are still spread in a quiet deployment", len(nd.queue))
+	}
+	for i := range 2 * maxMembers {
+		u := nd.self.wire(true, true)
+		u.Id = fmt.Sprint("x", i)
+		if i%2 == 0 {
+			u.Domain = u.Id
+		}
+		nd.merge(n.now, u, fromSync)
+	}
+	if len(nd.byID) > maxMembers || len(nd.domains) > maxDomains {
+		t.Errorf("%d members in %d domains", len(nd.byID), len(nd.domains))
+	}
+	v := n.nodes[1].View()
+	allocs := testing.AllocsPerRun(100, func() {
+		v.Holder(1)
+		v.RunnerUp(2)
+		v.Dispatcher("dom01", "server")
+		v.Member("dom02-03")
+	})
+	if allocs > 0 {
+		t.Errorf("lookups allocate %v times", allocs)
+	}
+}
+
+// Guards against lookups that are inconsistent with each other or between instances.
+func TestLookupsAgree(t *testing.T) {
+	n := newNetwork(t, 25, 3, 5)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	for key := range uint64(2000) {
+		key *= 0x9e3779b97f4a7c15
+		h, _ := n.nodes[0].View().Holder(key)
+		r, _ := n.nodes[0].View().RunnerUp(key)
+		if o, _ := n.nodes[7].View().Holder(key); o.ID != h.ID || r.ID == h.ID || r.Domain != h.Domain {
+			t.Fatalf("key %d: holders %s and %s, runner-up %s", key, h.ID, o.ID, r.ID)
+		}
+	}
+	h, _ := n.nodes[0].View().Holder(1)
+	r, _ := n.nodes[0].View().RunnerUp(1)
+	n.byAddr[h.PeerAddress].up = false
+	n.converge(10*time.Second, nil)
+	for _, nd := range n.live() {
+		if e, _ := nd.View().Holder(1); e.ID != r.ID {
+			t.Errorf("%s: holder after the crash is %s, want the runner-up %s", nd.inst.ID, e.ID, r.ID)
+		}
+	}
+}
+
+// Guards against anything that works only in small deployments: start of 1,330 instances
+// at once, crashes, and a domain that is cut off and returns.
+func TestTargetSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("1,330 machines")
+	}
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // half of the time otherwise
+	n := newNetwork(t, 27, 19, 70)
+	n.workers = 4
+	n.hintAll()
+	started := n.converge(20*time.Second, nil)
+	for i := range 16 {
+		n.nodes[i*83].up = false
 	}
+	crashed := n.converge(8*time.Second, nil)
+	n.cut = func(a, b *node) bool { return (a.inst.Domain == "dom03") != (b.inst.Domain == "dom03") }
+	cut := n.converge(10*time.Second, func(o, nd *node) bool { return (o.inst.Domain == "dom03") == (nd.inst.Domain == "dom03") })
+	n.cut = nil
+	t.Logf("started in %v, crashes seen in %v, cut in %v, healed in %v", started, crashed, cut, n.converge(10*time.Second, nil))
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"strings"
 
@@ -64,7 +65,7 @@
 
 	place    []placement.Member // placeable members, sorted by weight
 	placeIdx []int32            // index in Members for each element of place
-	byID     map[string]int32
+	index    []int16            // hash table over the IDs: index in Members + 1, 0 if free
 	// vacant: the domain has no live instance, and the instance list shows none either,
 	// so that other domains dispatch its backend servers.
 	vacant bool
@@ -87,9 +88,13 @@
 func newDomain(name string, weight uint32, members []Entry, reachable, vacant bool) Domain {
 	slices.SortFunc(members, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
 	d := Domain{Name: name, Weight: weight, Members: members, Reachable: reachable, vacant: vacant,
-		byID: make(map[string]int32, len(members))}
+		index: make([]int16, 2<<bits.Len(uint(len(members))))}
 	for i := range members {
-		d.byID[members[i].ID] = int32(i)
+		slot := d.slot(hashID(members[i].ID))
+		for d.index[slot] != 0 {
+			slot = d.slot(uint64(slot) + 1)
+		}
+		d.index[slot] = int16(i + 1)
 		if members[i].placeable() && members[i].Weight > 0 {
 			d.placeIdx = append(d.placeIdx, int32(i))
 		}
@@ -103,6 +108,21 @@
 	return d
 }
 
+func (d *Domain) slot(hash uint64) int { return int(hash & uint64(len(d.index)-1)) }
+
+// find returns the index in Members of an ID with its hash.
+func (d *Domain) find(id string, hash uint64) (int, bool) {
+	if len(d.index) == 0 {
+		return 0, false
+	}
+	for slot := d.slot(hash); d.index[slot] != 0; slot = d.slot(uint64(slot) + 1) {
+		if i := int(d.index[slot]) - 1; d.Members[i].ID == id {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // newView keeps domains, which must be sorted by name.
 func newView(version uint64, domains []Domain) *View {
 	v := &View{Version: version, Domains: domains}
@@ -182,8 +202,9 @@
 
 // Member returns the entry of an instance.
 func (v *View) Member(id string) (Entry, bool) {
+	hash := hashID(id)
 	for i := range v.Domains {
-		if j, ok := v.Domains[i].byID[id]; ok {
+		if j, ok := v.Domains[i].find(id, hash); ok {
 			return v.Domains[i].Members[j], true
 		}
 	}
