Log shed orders, follow contradictions, and end rolling runs with their steps

Cause: a trial against the daemon in progress showed orders that were refused but executed; the execution log alone could not say how.

Change: backend servers log the arrivals of shed requests with payload IDs too, with remote address and message ID, and results list up to ten contradictions with all arrivals, the overruns by server and the control traffic by kind. rolling-replace ends 6 s after its last step, because the duration of a planned stop is not known in advance.

Ruled out: a fault of the stand-in.

--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -363,17 +363,15 @@
 	if !s.drainedAt.IsZero() {
 		s.noteWorkLocked(now)
 		if s.ended {
-			s.status.Shed++
-			s.shedLocked(ex, m, "draining")
+			s.shedWorkLocked(now, ex, m, path, "draining")
 			return
 		}
 	}
 	if full := len(s.running) >= s.spec.Slots; full || s.behaviour.ShedAll {
-		s.status.Shed++
 		if full {
 			s.status.Overruns++
 		}
-		s.shedLocked(ex, m, "slots busy")
+		s.shedWorkLocked(now, ex, m, path, "slots busy")
 		return
 	}
 	key := tokenKey{remote: ex.key.remote, token: string(m.Token)}
@@ -384,10 +382,7 @@
 	r := &request{
 		key: key, mid: ex.key, con: m.Type == message.Confirmable, token: slices.Clone(m.Token),
 		start: now, exchange: ex, response: resp,
-		entry: Execution{
-			Server: s.spec.Name, Service: s.spec.Service, Method: m.Code.String(), Path: path,
-			PayloadID: payloadID(m.Payload), StartUS: now.UnixMicro(), Slots: len(s.running) + 1,
-		},
+		entry: s.entryLocked(now, ex, m, path),
 	}
 	abandon := false
 	if ms, err := m.Options.GetUint32(DeadlineOption); err == nil && time.Duration(ms)*time.Millisecond < took {
@@ -405,6 +400,25 @@
 	r.timer = time.AfterFunc(max(0, wait), func() { s.complete(r, planned, abandon) })
 }
 
+// shedWorkLocked refuses work and logs it if it can be followed by its payload ID.
+func (s *Server) shedWorkLocked(now time.Time, ex *exchange, m *message.Message, path, text string) {
+	s.status.Shed++
+	s.shedLocked(ex, m, text)
+	if e := s.entryLocked(now, ex, m, path); e.PayloadID != "" {
+		e.Shed, e.EndUS, e.Slots = true, e.StartUS, e.Slots-1
+		s.log.append(e)
+	}
+}
+
+// entryLocked is the log entry of a request that starts now.
+func (s *Server) entryLocked(now time.Time, ex *exchange, m *message.Message, path string) Execution {
+	return Execution{
+		Server: s.spec.Name, Service: s.spec.Service, Method: m.Code.String(), Path: path,
+		PayloadID: payloadID(m.Payload), StartUS: now.UnixMicro(), Slots: len(s.running) + 1,
+		Remote: ex.key.remote, MessageID: ex.key.id,
+	}
+}
+
 // complete ends work at its planned time; the lateness of the timer is taken off later
 // work, so that the mean duration is right although timers have a resolution of 1 ms.
 func (s *Server) complete(r *request, planned time.Time, abandoned bool) {
--- a/internal/standin/backendserver/spec.go
+++ b/internal/standin/backendserver/spec.go
@@ -117,7 +117,7 @@
 	ShedAll bool `json:"shed_all"`
 }
 
-// Execution is one request that a server started to run.
+// Execution is one request that a server started to run, unless it is marked as shed.
 type Execution struct {
 	Seq       uint64 `json:"seq"` // position in the log of the process
 	Server    string `json:"server"`
@@ -129,6 +129,11 @@
 	EndUS     int64  `json:"end_us"`
 	Slots     int    `json:"slots"` // busy slots including this request's
 	Abandoned bool   `json:"abandoned,omitempty"`
+	// Shed marks a request that arrived but did not run. It is only logged with a payload
+	// ID, so that the attempts of a non-idempotent request can be followed.
+	Shed      bool           `json:"shed,omitempty"`
+	Remote    netip.AddrPort `json:"remote"`
+	MessageID uint16         `json:"message_id"`
 }
 
 // Status is the state and the counters of a server.
--- a/test/lab/measure.go
+++ b/test/lab/measure.go
@@ -41,18 +41,19 @@
 	s.mu.Lock()
 	r.Events = append([]Event{}, s.events...)
 	s.mu.Unlock()
+	during := window{sc.during.from, min(sc.during.to, total)}
 	if sc.before != sc.during {
-		if err := s.compare(ctx, sc, r); err != nil {
+		if err := s.compare(ctx, sc, during, r); err != nil {
 			return nil, err
 		}
 	}
-	measured, err := s.callers.Report(ctx, sc.during.from, sc.during.to)
+	measured, err := s.callers.Report(ctx, during.from, during.to)
 	if err != nil {
 		return nil, err
 	}
 	r.Latency = latency(measured.Loads)
-	r.Services = s.services(sc.during)
-	r.Cost = s.cost(sc.during)
+	r.Services = s.services(during)
+	r.Cost, r.ControlByKind = s.cost(during)
 	if err := s.series(ctx, r); err != nil {
 		return nil, err
 	}
@@ -64,12 +65,12 @@
 }
 
 // compare measures the goodput before and during the main event of a scenario.
-func (s *session) compare(ctx context.Context, sc *scenario, r *Result) error {
+func (s *session) compare(ctx context.Context, sc *scenario, in window, r *Result) error {
 	before, err := s.callers.Report(ctx, sc.before.from, sc.before.to)
 	if err != nil {
 		return err
 	}
-	during, err := s.callers.Report(ctx, sc.during.from, sc.during.to)
+	during, err := s.callers.Report(ctx, in.from, in.to)
 	if err != nil {
 		return err
 	}
@@ -79,7 +80,10 @@
 			continue
 		}
 		k := Kept{Load: b.Name, Before: b.Goodput, During: during.Loads[i].Goodput}
-		k.Share = k.During / math.Min(k.Before, s.guaranteed(b))
+		k.Share = k.During / k.Before
+		if len(sc.flood) > 0 {
+			k.Share = k.During / math.Min(k.Before, s.guaranteed(b))
+		}
 		r.Kept = append(r.Kept, k)
 	}
 	return nil
@@ -174,10 +178,11 @@
 }
 
 // cost measures the instances that ran during the whole window.
-func (s *session) cost(w window) CostResult {
+func (s *session) cost(w window) (CostResult, map[string]float64) {
+	kinds := map[string]float64{}
 	first, last, ok := s.between(w)
 	if !ok {
-		return CostResult{}
+		return CostResult{}, kinds
 	}
 	seconds := (last.at - first.at).Seconds()
 	before := map[int]instanceSample{}
@@ -192,7 +197,12 @@
 			continue
 		}
 		n++
-		control := (in.control - b.control) / seconds
+		control := 0.0
+		for kind, bytes := range in.control {
+			rate := (bytes - b.control[kind]) / seconds
+			control += rate
+			kinds[kind] += rate
+		}
 		cpu := (in.usage.CPU - b.usage.CPU).Seconds() / seconds
 		r.ControlBytesMean += control
 		r.ControlBytesMax = max(r.ControlBytesMax, control)
@@ -204,7 +214,10 @@
 		r.ControlBytesMean /= n
 		r.CPUMean /= n
 	}
-	return r
+	for kind := range kinds {
+		kinds[kind] /= n
+	}
+	return r, kinds
 }
 
 // series fills in what happened in each second.
@@ -225,11 +238,20 @@
 		for _, sv := range s.services(window{samples[i-1].at, samples[i].at}) {
 			sec.Busy[sv.Name] = sv.SlotsBusy
 		}
+		sec.Overruns = overruns(samples[i]) - overruns(samples[i-1])
 		r.Series = append(r.Series, sec)
 	}
 	return nil
 }
 
+// overruns sums over the servers. A restarted server counts from zero again.
+func overruns(sm sample) (sum uint64) {
+	for _, st := range sm.servers {
+		sum += st.Overruns
+	}
+	return sum
+}
+
 // check compares the outcomes that callers saw with what the backend servers executed.
 func (s *session) check(ctx context.Context, r *Result) error {
 	c := &r.Checks
@@ -253,6 +275,7 @@
 	for _, st := range servers {
 		c.Misdelivered += st.Misdelivered
 		c.Overruns += st.Overruns
+		r.noteOverruns(st)
 		c.LateWorkMS = max(c.LateWorkMS, st.LastWorkAfterDrainMS)
 	}
 	s.mu.Lock()
@@ -274,33 +297,60 @@
 	if err != nil {
 		return err
 	}
-	c.compareOrders(orders, executions)
+	r.Contradictions = c.compareOrders(orders, executions)
 	return nil
 }
 
-// compareOrders counts the requests whose outcome contradicts the execution logs.
-func (c *Checks) compareOrders(orders []callers.Order, executions []backendserver.Execution) {
+// noteOverruns adds the overruns of a server to its service.
+func (r *Result) noteOverruns(st backendserver.Status) {
+	for i := range r.Services {
+		if s := &r.Services[i]; s.Name == st.Service && st.Overruns > 0 {
+			if s.Overruns == nil {
+				s.Overruns = map[string]uint64{}
+			}
+			s.Overruns[st.Name] = st.Overruns
+		}
+	}
+}
+
+// maxContradictions bounds the examples in a result.
+const maxContradictions = 10
+
+// compareOrders counts the requests whose outcome contradicts the execution logs, and
+// returns examples.
+func (c *Checks) compareOrders(orders []callers.Order, executions []backendserver.Execution) []Contradiction {
+	arrivals := map[string][]backendserver.Execution{}
 	runs := map[string]int{}
 	for _, e := range executions {
 		if e.PayloadID != "" {
-			runs[e.PayloadID]++
+			arrivals[e.PayloadID] = append(arrivals[e.PayloadID], e)
+			if !e.Shed {
+				runs[e.PayloadID]++
+			}
 		}
 	}
-	for _, n := range runs {
-		if n > 1 {
+	var examples []Contradiction
+	for _, o := range orders {
+		ran := runs[o.PayloadID]
+		contradicts := ran > 1
+		if contradicts {
 			c.ExecutedTwice++
 		}
-	}
-	for _, o := range orders {
-		switch n := runs[o.PayloadID]; {
-		case o.Outcome == callers.Refused && n > 0:
+		switch {
+		case o.Outcome == callers.Refused && ran > 0:
 			c.RefusedButExecuted++
-		case (o.Outcome == callers.Done || o.Outcome == callers.Late) && n == 0:
+			contradicts = true
+		case (o.Outcome == callers.Done || o.Outcome == callers.Late) && ran == 0:
 			c.DoneNotExecuted++
+			contradicts = true
 		case o.Outcome == callers.Unknown:
 			c.OrdersUnknown++
 		}
+		if contradicts && len(examples) < maxContradictions {
+			examples = append(examples, Contradiction{Order: o, Arrivals: arrivals[o.PayloadID]})
+		}
 	}
+	return examples
 }
 
 // judge turns counts into violations of requirements and findings.
--- a/test/lab/result.go
+++ b/test/lab/result.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
+	"github.com/monsoonthread/monsoonthread/internal/standin/backendserver"
 	"github.com/monsoonthread/monsoonthread/internal/standin/callers"
 )
 
@@ -30,6 +32,12 @@
 	Series   []Second                `json:"series"`
 	Checks   Checks                  `json:"checks"`
 
+	// Contradictions are examples of orders whose outcome differs from the execution logs.
+	Contradictions []Contradiction `json:"contradictions,omitempty"`
+	// ControlByKind is the control traffic of an instance by kind of envelope, in bytes
+	// per second, both directions, mean over the instances.
+	ControlByKind map[string]float64 `json:"control_by_kind"`
+
 	// Violations are the requirements that the run broke.
 	Violations []string `json:"violations"`
 	// Findings are measured targets that the run missed, and outcomes that no
@@ -52,12 +60,20 @@
 	Share float64 `json:"share"`
 }
 
+// Contradiction is an order and its arrivals at backend servers.
+type Contradiction struct {
+	callers.Order
+	Arrivals []backendserver.Execution `json:"arrivals"`
+}
+
 // ServiceResult describes the backend servers of one service in the measured window.
 type ServiceResult struct {
 	Name      string  `json:"name"`
 	Imbalance float64 `json:"imbalance"`  // max/mean of busy slot time per slot
 	SlotsBusy float64 `json:"slots_busy"` // mean share of slot time
 	Servers   int     `json:"servers"`
+	// Overruns are the overruns of the whole run by backend server.
+	Overruns map[string]uint64 `json:"overruns,omitempty"`
 }
 
 // LatencyResult compares calls through the instances with direct calls.
@@ -84,6 +100,8 @@
 	AtMS    int64              `json:"at_ms"`
 	Goodput map[string]float64 `json:"goodput"` // by load
 	Busy    map[string]float64 `json:"busy"`    // share of slot time by service
+	// Overruns counts the overruns on all backend servers.
+	Overruns uint64 `json:"overruns"`
 }
 
 // Checks are the counts that a requirement limits to zero.
@@ -123,9 +141,9 @@
 	for _, a := range r.Archives {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.1f\n", a.Path, a.Started, a.Complete, a.Incomplete, a.Wrong, float64(a.Bytes)/(1<<20))
 	}
-	fmt.Fprintln(t, "\nservice\tservers\timbalance\tslots busy")
+	fmt.Fprintln(t, "\nservice\tservers\timbalance\tslots busy\toverruns by server")
 	for _, s := range r.Services {
-		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.1f%%\n", s.Name, s.Servers, s.Imbalance, 100*s.SlotsBusy)
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.1f%%\t%v\n", s.Name, s.Servers, s.Imbalance, 100*s.SlotsBusy, s.Overruns)
 	}
 	if len(r.Kept) > 0 {
 		fmt.Fprintln(t, "\nother work\tbefore/s\tduring/s\tkept")
@@ -158,6 +176,13 @@
 	for _, e := range r.Events {
 		fmt.Fprintf(t, "event\t%.1fs\t%s\n", float64(e.AtMS)/1000, e.Text)
 	}
+	for _, x := range r.Contradictions {
+		fmt.Fprintf(t, "order\t%s %s %s\n", x.PayloadID, x.Outcome, x.Detail)
+		for _, e := range x.Arrivals {
+			fmt.Fprintf(t, "\tat %s on %s from %v message %d: shed=%v abandoned=%v after %d ms\n",
+				time.UnixMicro(e.StartUS).Format("15:04:05.0000"), e.Server, e.Remote, e.MessageID, e.Shed, e.Abandoned, (e.EndUS-e.StartUS)/1000)
+		}
+	}
 	for _, f := range r.Findings {
 		fmt.Fprintf(t, "finding\t%s\n", f)
 	}
--- a/test/lab/run.go
+++ b/test/lab/run.go
@@ -84,7 +84,7 @@
 	fmt.Fprintf(out, "running %s for %v\n", sc.name, sc.duration)
 	ctx, cancel := context.WithTimeout(ctx, sc.duration+2*time.Minute)
 	defer cancel()
-	if err := s.load(ctx, sc.steps); err != nil {
+	if err := s.load(ctx, sc); err != nil {
 		return nil, err
 	}
 	return s.measure(ctx, sc)
--- a/test/lab/scenario.go
+++ b/test/lab/scenario.go
@@ -33,6 +33,8 @@
 	flood                  map[string]bool // classes that are flooded
 	before, during         window          // compared; during is also measured
 	steps                  func(context.Context, *session) error
+	// endsWithSteps ends the load soon after the steps; duration is an upper limit.
+	endsWithSteps bool
 	// planned means that everything in the scenario is a planned change, so that no
 	// request may be interrupted.
 	planned bool
@@ -75,8 +77,8 @@
 		before: seconds(3, 8), during: seconds(17, 26), planned: true,
 	},
 	{
-		name: "rolling-replace", about: "every instance is replaced, one after another", duration: 45 * time.Second, load: 0.5,
-		streams: 300, before: seconds(3, 6), during: seconds(6, 42), planned: true, steps: rollingReplace,
+		name: "rolling-replace", about: "every instance is replaced, one after another", duration: 150 * time.Second, load: 0.5,
+		streams: 300, before: seconds(3, 6), during: seconds(6, 150), planned: true, steps: rollingReplace, endsWithSteps: true,
 	},
 	{
 		name: "drain-all", about: "every backend server of the larger service drains and returns", duration: 50 * time.Second, load: 0.4,
@@ -212,11 +214,10 @@
 }
 
 func rollingReplace(ctx context.Context, s *session) error {
-	const first, interval = 6 * time.Second, 4 * time.Second
-	for i, spec := range s.cluster.Deployment().Instances {
-		if err := s.at(ctx, first+time.Duration(i)*interval); err != nil {
-			return err
-		}
+	if err := s.at(ctx, 6*time.Second); err != nil {
+		return err
+	}
+	for _, spec := range s.cluster.Deployment().Instances {
 		if err := replace(ctx, s, spec); err != nil {
 			return err
 		}
--- a/test/lab/session.go
+++ b/test/lab/session.go
@@ -23,8 +23,8 @@
 	id      string
 	pid     int
 	usage   cluster.Usage
-	control float64 // bytes sent and received that are not requests
-	invalid float64 // violated invariants
+	control map[string]float64 // bytes sent and received by kind, without requests
+	invalid float64            // violated invariants
 }
 
 // sample is the state of a deployment at a time.
@@ -66,7 +66,7 @@
 }
 
 // load starts the callers, executes the steps while they run, and waits for their end.
-func (s *session) load(ctx context.Context, steps func(context.Context, *session) error) error {
+func (s *session) load(ctx context.Context, sc *scenario) error {
 	var err error
 	if s.callers, err = s.cluster.StartCallers(ctx, "callers", s.plan); err != nil {
 		return err
@@ -81,14 +81,36 @@
 	}()
 	defer sampler.Wait()
 	defer stop()
-	if steps != nil {
-		if err := steps(ctx, s); err != nil {
+	if sc.steps != nil {
+		if err := sc.steps(ctx, s); err != nil {
+			return err
+		}
+	}
+	if sc.endsWithSteps {
+		if err := s.endSoon(ctx); err != nil {
 			return err
 		}
 	}
 	return s.callers.Wait(ctx)
 }
 
+// settleTime is how long the load goes on after the last step. A stream that the last
+// step broke is silent for longer than allowed by then.
+const settleTime = streamBroken + time.Second
+
+// endSoon ends the load after the settle time.
+func (s *session) endSoon(ctx context.Context) error {
+	end := time.Since(s.start) + settleTime
+	if limit := time.Duration(s.plan.DurationMS) * time.Millisecond; end >= limit {
+		return nil
+	}
+	if err := s.at(ctx, end); err != nil {
+		return err
+	}
+	s.plan.DurationMS = int(end.Milliseconds())
+	return s.callers.Do(ctx, "POST", "/stop", nil, nil)
+}
+
 func (s *session) sampleLoop(ctx context.Context) {
 	for next := time.Duration(0); s.at(ctx, next) == nil; next += sampleInterval {
 		sm, err := s.sample(ctx)
@@ -123,9 +145,10 @@
 	return sm, nil
 }
 
-// parseMetrics returns the bytes of control traffic between instances, both directions,
-// and the number of violated invariants.
-func parseMetrics(text string) (control, invalid float64) {
+// parseMetrics returns the bytes of control traffic between instances by kind, both
+// directions, and the number of violated invariants.
+func parseMetrics(text string) (control map[string]float64, invalid float64) {
+	control = map[string]float64{}
 	sc := bufio.NewScanner(strings.NewReader(text))
 	for sc.Scan() {
 		name, value, ok := strings.Cut(sc.Text(), " ")
@@ -139,8 +162,8 @@
 		metric, labels, _ := strings.Cut(name, "{")
 		switch metric {
 		case "monsoonthread_peer_sent_bytes_total", "monsoonthread_peer_received_bytes_total":
-			if !isData(labels) {
-				control += v
+			if kind := kindOf(labels); !peer.DataKinds[kind] {
+				control[kind] += v
 			}
 		case "monsoonthread_invariant_violations_total", "monsoonthread_dispatch_violations":
 			invalid += v
@@ -149,11 +172,11 @@
 	return control, invalid
 }
 
-// isData reports whether the labels name an envelope that grows with requests.
-func isData(labels string) bool {
+// kindOf returns the kind of envelope in the labels of a metric.
+func kindOf(labels string) string {
 	_, kind, _ := strings.Cut(labels, `kind="`)
 	kind, _, _ = strings.Cut(kind, `"`)
-	return peer.DataKinds[kind]
+	return kind
 }
 
 // between returns the first and the last sample in a window.
