Accept configurations with monsoonctl in the lab

Cause: the demonstration has to show the operators' path, and the tool is now in the tree.

The demonstration accepts a second version under load and fails when it is not in force within 8 s.

--- a/test/lab/cluster/accept.go
+++ b/test/lab/cluster/accept.go
@@ -1,44 +1,75 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
-	"github.com/monsoonthread/monsoonthread/config"
-	"github.com/monsoonthread/monsoonthread/platform"
-	"github.com/monsoonthread/monsoonthread/questionnaire"
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
-// Accept writes the questionnaire, generates the configuration and accepts it. It
-// returns the version in the key-value service.
-func (c *Cluster) Accept(ctx context.Context) (uint64, error) {
-	path, err := c.Questionnaire()
-	if err != nil {
-		return 0, err
+// Ctl runs monsoonctl with JSON output and returns what it printed. A failure of the
+// tool is a *result.Error with the code that it reported.
+func (c *Cluster) Ctl(ctx context.Context, args ...string) ([]byte, error) {
+	args = append(args, "--output", "json", "--store-url", c.StoreControl.URL)
+	var peers []string
+	for _, in := range c.Instances() {
+		peers = append(peers, in.PeerAddress.String())
+	}
+	if len(peers) > 0 {
+		args = append(args, "--instances", strings.Join(peers, ","))
+	}
+	cmd := exec.CommandContext(ctx, c.cfg.Ctl, args...)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	err := cmd.Run()
+	if err == nil {
+		return stdout.Bytes(), nil
+	}
+	var failure struct {
+		Code  result.Code `json:"code"`
+		Error string      `json:"error"`
+	}
+	if json.Unmarshal(stderr.Bytes(), &failure) == nil && failure.Code != result.OK {
+		return nil, result.Errorf(failure.Code, "%s", failure.Error)
 	}
-	text, err := os.ReadFile(path)
+	return nil, fmt.Errorf("monsoonctl %s: %w: %s", strings.Join(args, " "), err, stderr.String())
+}
+
+// Accept writes the questionnaire, generates a proposal from it and accepts it, all with
+// monsoonctl. It returns the version in the key-value service.
+func (c *Cluster) Accept(ctx context.Context) (version uint64, err error) {
+	answers, err := c.Questionnaire()
 	if err != nil {
 		return 0, err
 	}
-	answers, err := questionnaire.Parse(text)
-	if err != nil {
+	proposal := filepath.Join(c.cfg.Dir, "proposal.json")
+	if err := os.Remove(proposal); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return 0, err
 	}
-	store := platform.NewStore(platform.StoreConfig{URL: c.StoreControl.URL})
-	previous, err := config.Load(ctx, store)
-	if err != nil && result.CodeOf(err) != result.StoreNotFound {
+	if _, err := c.Ctl(ctx, "questionnaire", "generate", answers, "--file", proposal); err != nil {
 		return 0, err
 	}
-	proposal, err := questionnaire.Generate(answers, previous)
+	out, err := c.Ctl(ctx, "questionnaire", "accept", proposal)
 	if err != nil {
 		return 0, err
 	}
-	base := uint64(0)
-	if previous != nil {
-		base = previous.Version
+	var accepted struct {
+		Version uint64 `json:"version"`
 	}
-	return config.Accept(ctx, store, proposal, base, fmt.Sprintf("lab-%d", time.Now().UnixNano()))
+	return accepted.Version, json.Unmarshal(out, &accepted)
+}
+
+// WaitInForce waits until a version is in force at every instance.
+func (c *Cluster) WaitInForce(ctx context.Context, version uint64, timeout time.Duration) error {
+	_, err := c.Ctl(ctx, "in-force", "--wait", "--version", strconv.FormatUint(version, 10), "--timeout", timeout.String())
+	return err
 }
--- a/test/lab/demo.go
+++ b/test/lab/demo.go
@@ -32,16 +32,39 @@
 
 // demo replaces an instance, drains a backend server and kills one.
 var demo = scenario{
-	name: "demo", about: "an instance is replaced, a backend server drains and one is killed", duration: 22 * time.Second,
+	name: "demo", about: "a configuration is accepted, an instance is replaced, a backend server drains and one is killed", duration: 22 * time.Second,
 	load: 0.4, streams: 100, before: seconds(3, 6), during: seconds(6, 20), steps: demoSteps,
 }
 
+// inForceBound is the time within which an accepted configuration is in force
+// everywhere (docs/design.md, 1.2).
+const inForceBound = 8 * time.Second
+
+// accept changes the configuration under load and waits until it is in force.
+func accept(ctx context.Context, s *session) error {
+	begin := time.Now()
+	services := s.cluster.Deployment().Answers.Services
+	services[0].DefaultDeadline += 100
+	version, err := s.cluster.Accept(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.cluster.WaitInForce(ctx, version, inForceBound); err != nil {
+		return fmt.Errorf("version %d is not in force within %v: %w", version, inForceBound, err)
+	}
+	s.event("version %d is accepted and in force everywhere after %d ms", version, time.Since(begin).Milliseconds())
+	return nil
+}
+
 func demoSteps(ctx context.Context, s *session) error {
 	d := s.cluster.Deployment()
 	servers := d.Answers.Services[0].BackendServers
 	if err := s.at(ctx, 6*time.Second); err != nil {
 		return err
 	}
+	if err := accept(ctx, s); err != nil {
+		return err
+	}
 	replaced := make(chan error, 1)
 	go func() { replaced <- replace(ctx, s, d.Instances[0]) }()
 	if err := s.at(ctx, 10*time.Second); err != nil {
