dispatch, admission, backend: unit and property tests

Found by them: timeouts raised the service time that decides whether a timeout counts, so a hanging server was never ejected; a class with short requests lost claims beside one with long requests; the order of equal servers followed a map.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -45,7 +45,8 @@
 	DefaultBuckets     = 256
 	// minBound lets a burst wait at a service whose rate is still unknown or low.
 	minBound = 8
-	// creditLimit bounds, in requests, what a class may claim at once after waiting.
+	// creditLimit bounds, in requests of the class with the longest ones, what a class
+	// may claim at once after waiting.
 	creditLimit = 2.0
 	// costGain is the weight of one sample in the mean slot time of a class.
 	costGain = 1.0 / 16
@@ -270,11 +271,14 @@
 // slot. Every class that waits gains its share of it, and class c pays. A request that
 // left the queue to be refused costs its class nothing.
 func (q *Queue) Granted(c config.Class) {
-	cost := q.classes[c].cost
+	cost, longest := q.classes[c].cost, 0.0
+	for i := range q.classes {
+		longest = max(longest, q.classes[i].cost)
+	}
 	for i := range q.classes {
 		k := &q.classes[i]
 		if k.n > 0 || config.Class(i) == c {
-			k.credit = min(k.credit+k.share*cost, creditLimit*k.cost)
+			k.credit = min(k.credit+k.share*cost, creditLimit*longest)
 		}
 	}
 	q.classes[c].credit = max(0, q.classes[c].credit-cost)
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -164,11 +164,9 @@
 	case Timeout:
 		// A caller's deadline that is shorter than the usual service time says
 		// nothing about the server.
-		if took < s.Completion() {
-			return
+		if took >= s.Completion() {
+			s.failed(now)
 		}
-		s.measure(took)
-		s.failed(now)
 	case Error:
 		s.failed(now)
 	}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/admission"
 	"github.com/monsoonthread/monsoonthread/backend"
 	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/peer/peerpb"
+	"github.com/monsoonthread/monsoonthread/result"
 )
 
 func TestMain(m *testing.M) {
@@ -20,24 +24,365 @@
 	os.Exit(m.Run())
 }
 
-// Guards against a request that waits although a slot becomes free.
+const testMaxDeadline = 4 * time.Second
+
+// fixture drives one scheduler by hand.
+type fixture struct {
+	t   *testing.T
+	s   *Scheduler
+	now time.Time
+}
+
+// newFixture returns a scheduler that owns servers a, b, ... with the given weights
+// and one slot each. A server of weight 100 takes 10 ms.
+func newFixture(t *testing.T, weights ...uint32) *fixture {
+	f := &fixture{t: t, now: time.Unix(1000, 0)}
+	f.s = NewScheduler(Config{}, config.Service{ID: 1, MaxDeadline: config.Milliseconds(testMaxDeadline.Milliseconds())}, f.now)
+	f.s.SetOwned(f.now, assignments("", weights...), 1)
+	return f
+}
+
+func assignments(previous string, weights ...uint32) []Assignment {
+	var list []Assignment
+	for i, w := range weights {
+		list = append(list, Assignment{Server: config.BackendServer{Name: string(rune('a' + i)), Slots: 1, Weight: w}, Previous: previous})
+	}
+	return list
+}
+
+func (f *fixture) request(id uint64, deadline time.Duration) Request {
+	return Request{Idempotent: true, Item: admission.Item{ID: id, Class: config.Normal, Arrived: f.now, Deadline: f.now.Add(deadline)}}
+}
+
+func (f *fixture) submit(id uint64, deadline time.Duration) string {
+	return show(f.s.Submit(f.now, f.request(id, deadline)))
+}
+
+// tick lets time pass in steps of 10 ms and returns what happened, without events.
+func (f *fixture) tick(d time.Duration) string {
+	var all []Action
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(min(10*time.Millisecond, end.Sub(f.now)))
+		all = append(all, f.s.Tick(f.now)...)
+	}
+	return show(all)
+}
+
+func (f *fixture) expect(got, want string) {
+	f.t.Helper()
+	if got != want {
+		f.t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// show prints the actions without events: "run 1@a", "refuse 2:103" and so on.
+func show(actions []Action) string {
+	text := ""
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Run:
+			text += fmt.Sprintf("run %d@%s ", a.Request.ID, a.Server.Name)
+		case Refuse:
+			text += fmt.Sprintf("refuse %d:%d ", a.ID, a.Err.Code)
+		case CancelRun:
+			text += "cancel "
+		case AskHandover:
+			text += fmt.Sprintf("ask %s%v ", a.To, a.Servers)
+		case SendHandoverDone:
+			text += fmt.Sprintf("done %s:%s:%d ", a.To, a.Server, a.Ended)
+		}
+	}
+	if text == "" {
+		return ""
+	}
+	return text[:len(text)-1]
+}
+
+// grantOf returns the grant of a running request.
+func (f *fixture) grantOf(id uint64) uint64 {
+	for i := range f.s.grants {
+		if g := &f.s.grants[i]; g.state == grantRunning && g.request.ID == id {
+			return uint64(g.generation)<<32 | uint64(i+1)
+		}
+	}
+	f.t.Fatalf("request %d does not run", id)
+	return 0
+}
+
+func (f *fixture) finish(id uint64, o backend.Outcome, took time.Duration) string {
+	grant := f.grantOf(id)
+	f.now = f.now.Add(took)
+	return show(f.s.Finish(f.now, grant, o, took))
+}
+
+// Guards against a request that waits although a slot is free, and against a
+// duplicate Finish that frees a slot twice.
 func TestQueuedRequestRunsWhenASlotIsFree(t *testing.T) {
-	now := time.Unix(0, 0)
-	svc := config.Service{ID: 1, MaxDeadline: 10000}
-	s := NewScheduler(Config{}, svc, now)
-	s.SetOwned(now, []Assignment{{Server: config.BackendServer{Name: "a", Slots: 1, Weight: 100}}}, 1)
-	req := func(id uint64) Request {
-		return Request{Item: admission.Item{ID: id, Deadline: now.Add(5 * time.Second), Arrived: now}, Idempotent: true}
-	}
-	run, ok := s.Submit(now, req(1))[0].(Run)
-	if !ok {
-		t.Fatal("first request does not run")
-	}
-	if acts := s.Submit(now, req(2)); len(acts) != 0 {
-		t.Fatalf("second request does not wait: %v", acts)
-	}
-	acts := s.Finish(now.Add(time.Millisecond), run.Grant, backend.Success, time.Millisecond)
-	if next, ok := acts[0].(Run); !ok || next.Request.ID != 2 {
-		t.Fatalf("second request does not run: %v", acts)
+	f := newFixture(t, 100)
+	f.expect(f.submit(1, time.Second), "run 1@a")
+	f.expect(f.submit(2, time.Second), "")
+	f.expect(f.submit(3, time.Second), "")
+	grant := f.grantOf(1)
+	f.expect(f.finish(1, backend.Success, time.Millisecond), "run 2@a")
+	f.expect(show(f.s.Finish(f.now, grant, backend.Success, 0)), "")
+	f.expect(f.finish(2, backend.Error, time.Millisecond), "run 3@a")
+}
+
+// Guards against refusals with a code that does not say why, or after which the
+// request runs all the same.
+func TestRefusalCodes(t *testing.T) {
+	codes := map[string]struct {
+		code    result.Code
+		prepare func(f *fixture)
+		request func(r *Request)
+	}{
+		"no server owned":  {result.NotDispatcher, func(f *fixture) { f.s.SetOwned(f.now, nil, 2) }, nil},
+		"all draining":     {result.NoBackendServer, func(f *fixture) { f.s.Leave(f.now, "a", backend.NoticeList) }, nil},
+		"instance leaves":  {result.ShuttingDown, func(f *fixture) { f.s.Drain(f.now) }, nil},
+		"fenced":           {result.Fenced, func(f *fixture) { f.s.Fence(f.now) }, nil},
+		"takeover pending": {result.TakeoverPending, func(f *fixture) { f.s.Fence(f.now); f.s.SetOwned(f.now, assignments("", 100), 2) }, nil},
+		"deadline too short": {result.DeadlineUnmet, func(*fixture) {},
+			func(r *Request) { r.Deadline = r.Arrived.Add(5 * time.Millisecond) }},
+		"deadline behind the queue": {result.DeadlineUnmet, func(f *fixture) {
+			for i := range uint64(6) {
+				f.submit(100+i, time.Second)
+			}
+		}, func(r *Request) { r.Deadline = r.Arrived.Add(45 * time.Millisecond) }},
+		"caller fills the queue": {result.QueueShareExceeds, func(f *fixture) {
+			for i := range uint64(250) {
+				f.submit(100+i, testMaxDeadline)
+			}
+		}, func(r *Request) { r.Deadline = r.Arrived.Add(testMaxDeadline) }},
+		"queue full": {result.QueueFull, func(f *fixture) {
+			*f = *newFixture(f.t, 40) // fewer places than sub-queues
+			for i := range uint64(5000) {
+				r := f.request(100+i, testMaxDeadline)
+				r.CallerHash = i * 0x9e3779b97f4a7c15
+				f.s.Submit(f.now, r)
+			}
+		}, func(r *Request) { r.Deadline = r.Arrived.Add(2 * testMaxDeadline); r.CallerHash = 3 }},
+		"retry budget": {result.RetryBudgetSpent, func(f *fixture) {
+			r := f.request(100, time.Second)
+			r.Retry = true
+			f.s.Submit(f.now, r)
+		}, func(r *Request) { r.Retry = true }},
+	}
+	for name, c := range codes {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 100)
+			c.prepare(f)
+			r := f.request(1, time.Second)
+			if c.request != nil {
+				c.request(&r)
+			}
+			f.expect(show(f.s.Submit(f.now, r)), fmt.Sprintf("refuse 1:%d", c.code))
+		})
+	}
+}
+
+// Guards against a slot that is lost, or used too early, in a planned takeover: the
+// count of the old dispatcher is exact until each request has ended.
+func TestHandoverCountsRunningRequests(t *testing.T) {
+	old, next, last := newFixture(t, 100), newFixture(t), newFixture(t)
+	old.expect(old.submit(1, time.Second), "run 1@a")
+	next.expect(show(next.s.SetOwned(next.now, assignments("old", 100), 2)), "ask old[a]")
+	next.expect(next.submit(2, time.Second), "")
+	_, reply := old.s.HandoverRequest(old.now, "next", []string{"a"})
+	old.expect(old.submit(3, time.Second), "refuse 3:120")
+	next.expect(show(next.s.HandoverReply(next.now, "old", reply)), "")
+	// A lost reply is repeated with the same content.
+	if _, again := old.s.HandoverRequest(old.now, "next", []string{"a"}); !again[0].WasOwner || len(again[0].Running) != 1 {
+		t.Errorf("repeated handover is %v", again)
+	}
+	// The server moves on before the request has ended.
+	last.expect(show(last.s.SetOwned(last.now, assignments("next", 100), 3)), "ask next[a]")
+	_, reply = next.s.HandoverRequest(next.now, "last", []string{"a"})
+	next.s.SetOwned(next.now, nil, 3)
+	last.s.HandoverReply(last.now, "next", reply)
+	last.expect(last.submit(4, time.Second), "")
+	old.expect(old.finish(1, backend.Success, 20*time.Millisecond), "done next:a:1")
+	next.expect(show(next.s.HandoverDone(next.now, "a", 1)), "done last:a:1")
+	last.expect(show(last.s.HandoverDone(last.now, "a", 1)), "run 4@a")
+}
+
+// Guards against a takeover from an instance that does not answer, or was not the
+// dispatcher, without waiting for the longest deadline.
+func TestHandoverWithoutOwnerIsQuarantined(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		f := newFixture(t)
+		f.expect(show(f.s.SetOwned(f.now, assignments("old", 100), 2)), "ask old[a]")
+		f.submit(1, 2*testMaxDeadline)
+		if answered {
+			f.s.HandoverReply(f.now, "old", []*peerpb.ServerHandover{{Server: "a"}})
+		} else {
+			f.expect(f.tick(DefaultHandoverTries*DefaultHandoverTimeout), "ask old[a] ask old[a]")
+		}
+		f.expect(f.tick(testMaxDeadline-time.Millisecond), "ask old[a] ask old[a] ask old[a]")
+		f.expect(f.tick(time.Millisecond), "run 1@a")
+	}
+}
+
+// Guards against grants after the own clock jumped, when another instance may be the
+// dispatcher, and against slots of own requests that are forgotten.
+func TestFenceGivesUpOwnership(t *testing.T) {
+	f := newFixture(t, 100)
+	f.expect(f.submit(1, 2*testMaxDeadline), "run 1@a")
+	f.submit(2, testMaxDeadline)
+	f.expect(show(f.s.Fence(f.now)), "refuse 2:115")
+	if _, reply := f.s.HandoverRequest(f.now, "next", []string{"a"}); reply[0].WasOwner {
+		t.Error("a fenced instance vouches for the count")
+	}
+	f.expect(show(f.s.SetOwned(f.now, assignments("next", 100), 2)), "ask next[a]")
+	f.submit(3, 2*testMaxDeadline)
+	f.tick(testMaxDeadline)
+	if f.s.Running() != 1 || f.s.Queued() != 1 {
+		t.Errorf("%d running, %d queued after the quarantine, want 1 and 1", f.s.Running(), f.s.Queued())
+	}
+	f.expect(f.finish(1, backend.Success, time.Millisecond), "run 3@a")
+}
+
+// Guards against a server without a dispatcher after another instance took it because
+// of an older view.
+func TestServerTakenByAnOlderViewIsTakenBack(t *testing.T) {
+	f := newFixture(t, 100)
+	f.s.HandoverRequest(f.now, "stale", []string{"a"})
+	f.expect(f.tick(reclaimAfter-time.Millisecond), "")
+	f.expect(f.tick(time.Millisecond), "ask stale[a]")
+	f.s.HandoverReply(f.now, "stale", []*peerpb.ServerHandover{{Server: "a", WasOwner: true}})
+	f.expect(f.submit(1, time.Second), "run 1@a")
+}
+
+// Guards against a request that misses its deadline on a slow server while a fast one
+// is about to be free. The slow slot stays idle for it, but not for others.
+func TestSlowSlotStaysIdleForADeadline(t *testing.T) {
+	f := newFixture(t, 10, 800) // 100 ms and 1.25 ms
+	f.expect(f.submit(1, 50*time.Millisecond), "run 1@b")
+	f.expect(f.submit(2, 50*time.Millisecond), "")
+	f.expect(f.submit(3, time.Second), "run 3@a")
+	f.expect(f.finish(1, backend.Success, time.Millisecond), "run 2@b")
+}
+
+// Guards against a slow server that is busy for a larger share of the time than the
+// others, and against idle slots when the queue is long.
+func TestSlowServerRestsWhileTheQueueIsShort(t *testing.T) {
+	f := newFixture(t, 10, 800)
+	f.expect(f.submit(1, time.Second), "run 1@a")
+	f.expect(f.finish(1, backend.Success, 100*time.Millisecond), "")
+	f.s.setBusy(f.s.servers["a"], 0.5)
+	f.s.ready.update(f.s.servers["a"])
+	f.expect(f.submit(2, time.Second), "run 2@b")
+	f.expect(f.submit(3, time.Second), "")
+	got := ""
+	for id := uint64(4); id < 200 && got == ""; id++ {
+		got = f.submit(id, testMaxDeadline)
+	}
+	f.expect(got, "run 3@a")
+}
+
+// Guards against follow-up blocks that go to another server than the first.
+func TestPreferredServer(t *testing.T) {
+	f := newFixture(t, 100, 100)
+	for id, want := range []string{"run 0@b", "", "run 2@a"} {
+		r := f.request(uint64(id), time.Second)
+		if id < 2 {
+			r.Preferred = "b"
+		}
+		f.expect(show(f.s.Submit(f.now, r)), want)
+	}
+	f.expect(f.finish(0, backend.Success, time.Millisecond), "run 1@b")
+	r := f.request(9, time.Second)
+	r.Preferred = "unknown"
+	f.expect(f.finish(2, backend.Success, time.Millisecond), "")
+	f.expect(show(f.s.Submit(f.now, r)), "run 9@a")
+	// It waits for its server only for a while.
+	r = f.request(10, time.Second)
+	r.Preferred = "b"
+	f.expect(show(f.s.Submit(f.now, r)), "")
+	f.expect(f.finish(9, backend.Success, 30*time.Millisecond), "run 10@a")
+}
+
+// Guards against a shed request that is lost, sent to the same server again, or sent
+// on although its caller cancelled it.
+func TestShedRequestGoesToAnotherServer(t *testing.T) {
+	f := newFixture(t, 100, 100)
+	f.expect(f.submit(1, time.Second), "run 1@a")
+	f.expect(f.finish(1, backend.Shed, time.Millisecond), "run 1@b")
+	f.expect(show(f.s.Cancel(f.now, 1)), "cancel")
+	f.expect(f.finish(1, backend.Shed, time.Millisecond), "refuse 1:117")
+	if n := f.s.servers["a"].life.Sheds(); n != 1 {
+		t.Errorf("%d sheds counted, want 1", n)
+	}
+}
+
+// Guards against the early reuse of the slot of a cancelled request, which the server
+// may still run, and against cancelled requests that run later.
+func TestCancel(t *testing.T) {
+	f := newFixture(t, 100)
+	f.expect(f.submit(1, time.Second), "run 1@a")
+	f.expect(f.submit(2, time.Second), "")
+	f.expect(f.submit(3, testMaxDeadline), "")
+	f.expect(show(f.s.Cancel(f.now, 2)), "refuse 2:117")
+	f.expect(show(f.s.Cancel(f.now, 1)), "cancel")
+	f.expect(show(f.s.Cancel(f.now, 1)), "")
+	f.expect(f.finish(1, backend.Cancelled, 0), "")
+	f.expect(f.tick(time.Second+DefaultDeadlineGrace-time.Millisecond), "")
+	f.expect(f.tick(time.Millisecond), "run 3@a")
+}
+
+// Guards against a service without any server because too many look broken, and
+// against non-idempotent probes of a server that most likely fails.
+func TestEjectionAndPanicLevel(t *testing.T) {
+	f := newFixture(t, 100, 100, 100)
+	fail := func(name string) {
+		for range 2 * backend.DefaultFailures {
+			f.s.servers[name].life.Outcome(f.now, backend.Error, 0)
+			f.s.settle(nil, f.now, f.s.servers[name])
+		}
+	}
+	fail("a")
+	if f.s.total != 2 {
+		t.Errorf("%d slots usable with one of three ejected, want 2", f.s.total)
+	}
+	f.tick(backend.DefaultProbeInterval)
+	if f.s.servers["a"].limit != 1 {
+		t.Fatal("the ejected server is not probed")
+	}
+	f.s.setBusy(f.s.servers["a"], -1) // it would be chosen first
+	f.s.ready.update(f.s.servers["a"])
+	r := f.request(1, time.Second)
+	r.Idempotent = false
+	if got := show(f.s.Submit(f.now, r)); got != "run 1@b" && got != "run 1@c" {
+		t.Errorf("a non-idempotent request: %q", got)
+	}
+	f.expect(f.submit(2, time.Second), "run 2@a")
+	fail("b")
+	if f.s.total != 3 {
+		t.Errorf("%d slots usable with two of three ejected, want 3", f.s.total)
+	}
+}
+
+// Guards against a graceful stop that interrupts running requests or leaves queued
+// ones without an answer.
+func TestDrainFinishesRunningRequests(t *testing.T) {
+	f := newFixture(t, 100)
+	f.submit(1, time.Second)
+	f.submit(2, time.Second)
+	f.expect(show(f.s.Drain(f.now)), "refuse 2:108")
+	f.expect(f.finish(1, backend.Success, time.Millisecond), "")
+	if f.s.Running() != 0 {
+		t.Errorf("%d requests run after the last one finished", f.s.Running())
+	}
+}
+
+// Guards against a program fault that stays unseen: a Run that is never finished.
+func TestUnfinishedGrantIsReported(t *testing.T) {
+	var seen []string
+	Violations.SetHook(func(name, _ string) { seen = append(seen, name) })
+	defer Violations.SetHook(func(name, server string) { panic("invariant broken: " + name + " " + server) })
+	f := newFixture(t, 100)
+	f.submit(1, time.Second)
+	f.tick(time.Second + DefaultDeadlineGrace + finishGrace)
+	if !slices.Equal(seen, []string{ViolationUnfinished}) || f.s.Running() != 0 {
+		t.Errorf("violations %v, %d running", seen, f.s.Running())
 	}
 }
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -36,6 +36,8 @@
 		if !v.assigned && v.role != released {
 			s.release(now, v)
 		}
+	}
+	for _, v := range s.owned {
 		out = s.refreshed(out, now, v)
 	}
 	s.started = true
