--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -51,6 +51,7 @@
 type candidate struct {
 	instance string
 	known    bool
+	closed   bool // dispatches nothing, now or soon
 	seen     time.Time
 	seq      uint64
 	free     float64
@@ -141,6 +142,7 @@
 	d.free = float64(sum.GetFreeSlots())
 	d.wait = float64(sum.GetExpectedWaitMs()) / 1000
 	d.rate = float64(sum.GetServiceRateMilli()) / 1000
+	d.closed = sum.GetTotalSlots() == 0 && sum.GetExpectedWaitMs() == 0
 	s.maxRate = max(s.maxRate, d.rate)
 	d.avoid = time.Time{}
 }
@@ -271,7 +273,7 @@
 	for range tries {
 		i := c.rng.IntN(len(s.list))
 		d := &s.list[i]
-		if slices.Contains(exclude, d.instance) || now.Before(d.avoid) {
+		if slices.Contains(exclude, d.instance) || now.Before(d.avoid) || d.closed && c.fresh(now, d) {
 			continue
 		}
 		last = i
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -262,6 +262,20 @@
 	f.expect(f.finish(1, backend.Success, time.Millisecond), "run 2@b")
 }
 
+// Guards against a request that waits for a fast server and is then served before a
+// more urgent one.
+func TestHeldRequestDoesNotOvertakeUrgentOnes(t *testing.T) {
+	f := newFixture(t, 10, 800)
+	f.expect(f.submit(1, 50*time.Millisecond), "run 1@b")
+	f.expect(f.submit(2, 50*time.Millisecond), "")
+	f.expect(f.submit(3, time.Second), "run 3@a")
+	r := f.request(4, time.Second)
+	r.Class = config.Urgent
+	f.expect(show(f.s.Submit(f.now, r)), "")
+	f.expect(f.finish(1, backend.Success, time.Millisecond), "run 4@b")
+	f.expect(f.finish(4, backend.Success, time.Millisecond), "run 2@b")
+}
+
 // Guards against a slow server that is busy for a larger share of the time than the
 // others, and against idle slots when the queue is long.
 func TestSlowServerRestsWhileTheQueueIsShort(t *testing.T) {
