--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -49,7 +49,15 @@
 	}
 }
 
+// work processes datagrams once the instance has joined. Datagrams that the fabric
+// delivers before wait in the queue: joining takes less time than a caller's
+// retransmission.
 func (d *Daemon) work(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-d.members.joinedSignal:
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,6 +115,10 @@
 
 // route sends a packet on to the instance that is responsible for it, or serves it.
 func (d *Daemon) route(r *routing, p *packet) {
+	if !d.members.serves.Load() {
+		d.relayOnly(r, p)
+		return
+	}
 	if p.message.Code.IsRequest() && !isStream(p.message) && !d.treatment(p).Idempotent {
 		if echo := p.message.Echo(); echo != nil {
 			d.routePermitted(r, p, echo)
@@ -122,6 +134,14 @@
 	d.serveHeld(r, p)
 }
 
+// relayOnly passes a packet on while this instance is joining.
+func (d *Daemon) relayOnly(r *routing, p *packet) {
+	holder, ok := r.view.Holder(p.hash)
+	if !ok || holder.ID == d.settings.InstanceID || p.hops >= maxHops || d.relay(r, holder, p, false) != nil {
+		d.metrics.dropped(result.InstanceNotReady)
+	}
+}
+
 // isStream reports whether a request registers or cancels an observation.
 func isStream(m *edge.Message) bool {
 	_, observe := m.Observe()
@@ -150,7 +170,8 @@
 }
 
 // findIssuer returns the live instance that a permit names. A leaving instance still
-// serves its permits.
+// serves its permits. The incarnation is left to the issuer: it grows when the instance
+// refutes a suspicion or leaves, while the same process can still verify its permits.
 func findIssuer(v *membership.View, ref permit.Ref) (membership.Entry, bool) {
 	for i := range v.Domains {
 		dom := &v.Domains[i]
@@ -159,7 +180,7 @@
 		}
 		for j := range dom.Members {
 			e := &dom.Members[j]
-			if permit.InstanceHash(e.ID) == ref.InstanceHash && e.State != membership.Dead && e.Incarnation == ref.Incarnation {
+			if permit.InstanceHash(e.ID) == ref.InstanceHash && e.State != membership.Dead {
 				return *e, true
 			}
 		}
