--- a/config/watcher.go
+++ b/config/watcher.go
@@ -99,6 +99,7 @@
 	EventLoadFailed    = "config_load_failed"
 	EventPeerFailed    = "config_peer_failed"
 	EventCallAbandoned = "config_call_abandoned"
+	EventNoConfig      = "config_missing_at_start"
 )
 
 // maxAnnouncers bounds the peers remembered as having a higher version. Heartbeats
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -26,7 +26,7 @@
 }
 
 type timelineEvent struct {
-	HLC      uint64   `json:"hlc"`
+	HLC      uint64   `json:"hlc,string"` // above 2^53, where JSON readers lose digits
 	Time     string   `json:"time"`
 	Instance string   `json:"instance"`
 	Name     string   `json:"name"`
