Start from a peer's configuration and read only what it lacks

Also, 38 watching instances at 100 reads/s each could pass the 2,000 reads/s of the key-value service.

Change: Follower.Start reads the head, gives the peers their time to answer, and reads only the service values that the best answer lacks.

Figures: in the test, a start with up-to-date peers reads 0 service values, and one with peers one version behind reads 1 of 3.

--- a/config/bootstrap.go
+++ b/config/bootstrap.go
@@ -99,17 +99,13 @@
 // Decide returns what to do now.
 func (b *Bootstrap) Decide(now time.Time) Decision {
 	waited := now.Sub(b.started)
-	peersDone := true
-	for _, answered := range b.peersAsked {
-		peersDone = peersDone && answered
-	}
 	if b.best != nil {
-		if (b.storeAnswered || waited >= b.cfg.StoreWait) && (peersDone || waited >= b.cfg.PeerWait) {
+		if (b.storeAnswered || waited >= b.cfg.StoreWait) && b.peersHeard(now) {
 			return Decision{Kind: Serve, Config: b.best}
 		}
 		return Decision{Kind: Wait}
 	}
-	if waited < b.cfg.ReportAfter && !(b.storeAnswered && peersDone) {
+	if waited < b.cfg.ReportAfter && !(b.storeAnswered && b.peersHeard(now)) {
 		return Decision{Kind: Wait}
 	}
 	if b.storeAnswered {
@@ -119,6 +115,19 @@
 		"no configuration from the store (%v) or a peer (%v)", orNoAnswer(b.storeErr), orNoAnswer(b.peerErr))}
 }
 
+// peersHeard reports whether every peer has answered or their time is up.
+func (b *Bootstrap) peersHeard(now time.Time) bool {
+	if now.Sub(b.started) >= b.cfg.PeerWait {
+		return true
+	}
+	for _, answered := range b.peersAsked {
+		if !answered {
+			return false
+		}
+	}
+	return true
+}
+
 func orNoAnswer(err error) any {
 	if err == nil {
 		return "no answer"
--- a/config/follower.go
+++ b/config/follower.go
@@ -14,6 +14,8 @@
 	// bootstrapPause spaces the rounds in which an instance that starts asks the store
 	// and its peers again.
 	bootstrapPause = 500 * time.Millisecond
+	// bootstrapPoll is how long an answer can lie before it is looked at.
+	bootstrapPoll = 10 * time.Millisecond
 	// sourceStore names the store to FollowerConfig.Applied.
 	sourceStore = "store"
 )
@@ -135,7 +137,7 @@
 		select {
 		case <-ctx.Done():
 			return result.Errorf(result.InstanceNotReady, "no configuration at the start: %w", ctx.Err())
-		case <-time.After(followerTick / 10):
+		case <-time.After(bootstrapPoll):
 		}
 	}
 }
@@ -154,6 +156,13 @@
 	return b.Decide(time.Now())
 }
 
+// peersBest returns the highest version so far, and whether to wait for more.
+func (b *bootstrapCalls) peersBest() (best *Config, done bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.best, b.peersHeard(time.Now())
+}
+
 func (b *bootstrapCalls) source(c *Config) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -195,7 +204,7 @@
 func (f *Follower) ask(ctx context.Context, b *bootstrapCalls, peers []string) {
 	if b.begin("") {
 		f.calls.Go(func() {
-			c, _, err := f.loader.Load(ctx, nil)
+			c, err := f.loadAtStart(ctx, b)
 			b.end("", c, err)
 		})
 	}
@@ -214,6 +223,30 @@
 	}
 }
 
+// loadAtStart reads the head and, after the peers had time to answer, the service
+// values that the best answer of a peer lacks: 2,600 starts a day would otherwise read
+// 2,800 values each.
+func (f *Follower) loadAtStart(ctx context.Context, b *bootstrapCalls) (*Config, error) {
+	head, _, err := ReadHead(ctx, f.cfg.Store)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		best, done := b.peersBest()
+		switch {
+		case best != nil && best.Version >= head.Version:
+			return best, nil
+		case done:
+			return f.loader.LoadHead(ctx, head, best)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, codedCause(ctx)
+		case <-time.After(bootstrapPoll):
+		}
+	}
+}
+
 // Run follows the accepted configuration until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.calls.Wait()
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -86,9 +86,9 @@
 	return g.current[peer].EncodeSince(known)
 }
 
-func (g *following) accept(speed uint32) {
+func (g *following) accept(c *Config) {
 	version := uint64(len(g.store.heads))
-	if _, err := Accept(context.Background(), g.store, testConfig(3, 6, speed), version, fmt.Sprint("a", version)); err != nil {
+	if _, err := Accept(context.Background(), g.store, c, version, fmt.Sprint("a", version)); err != nil {
 		g.t.Fatal(err)
 	}
 }
@@ -140,7 +140,7 @@
 // an outage, or gets its versions applied out of order.
 func TestFollowersStartAndFollow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newFollowing(t, "a", "b", "c")
+		g := newFollowing(t, "a", "b", "c", "d")
 		ctx, cancel := context.WithCancel(context.Background())
 		none := func() []string { return nil }
 		// Neither the store nor a peer can be reached: the instance reports and waits.
@@ -156,7 +156,7 @@
 			t.Fatalf("%d reports, version %d", n, g.current["a"].Version())
 		}
 		g.setDown(false)
-		g.accept(100)
+		g.accept(testConfig(3, 6, 100))
 		since := time.Now()
 		started.Wait()
 		if took := time.Since(since); took > 2*time.Second {
@@ -170,43 +170,58 @@
 			t.Fatal(err, g.source("b"))
 		}
 		g.setDown(false)
+		g.store.gets = 0
 		if err := g.followers["c"].Start(ctx, func() []string { return []string{"a", "b"} }); err != nil {
 			t.Fatal(err)
 		}
-		g.want(1)
-
+		if g.store.gets != 0 {
+			t.Errorf("the start read %d service values that a peer had delivered", g.store.gets)
+		}
 		var running sync.WaitGroup
-		for _, f := range g.followers {
-			running.Go(func() { f.Run(ctx) })
+		for _, name := range []string{"a", "b", "c"} {
+			running.Go(func() { g.followers[name].Run(ctx) })
 		}
 		fetches := g.fetches
 		g.heartbeats(time.Second)
 		if g.fetches != fetches {
 			t.Errorf("%d fetches although all have the same version", g.fetches-fetches)
 		}
+		// The store is ahead of the peers: d takes only the changed service from it.
+		changed := testConfig(3, 6, 100)
+		changed.Services[1].MaxDeadline++
+		g.accept(changed)
+		g.store.gets = 0
+		if err := g.followers["d"].Start(ctx, func() []string { return []string{"a", "b"} }); err != nil {
+			t.Fatal(err)
+		}
+		if g.current["d"].Version() != 2 || g.store.gets != 1 {
+			t.Errorf("version %d after %d reads of service values", g.current["d"].Version(), g.store.gets)
+		}
+		running.Go(func() { g.followers["d"].Run(ctx) })
+
 		g.followers["a"].SetWatching(true)
-		g.accept(200)
+		g.accept(testConfig(3, 6, 200))
 		g.heartbeats(time.Second)
-		g.want(2)
+		g.want(3)
 		if g.source("a") != "store" || g.source("b") == "store" {
 			t.Fatalf("sources %s and %s", g.source("a"), g.source("b"))
 		}
-		g.accept(300)
+		g.accept(testConfig(3, 6, 300))
 		g.setDown(true)
 		g.heartbeats(time.Minute)
 		g.setDown(false)
 		g.heartbeats(8 * time.Second)
-		g.want(3)
+		g.want(4)
 		// The only watcher is cut off from its peers: the others ask the store.
 		g.mu.Lock()
 		g.cut = true
 		g.mu.Unlock()
-		g.accept(400)
+		g.accept(testConfig(3, 6, 400))
 		for _, f := range g.followers {
-			f.Heard("a", 4)
+			f.Heard("a", 5)
 		}
 		time.Sleep(8 * time.Second)
-		g.want(4)
+		g.want(5)
 		g.followers["a"].SetWatching(false)
 		time.Sleep(time.Second)
 		if n := g.open.Load(); n != 0 {
--- a/config/load.go
+++ b/config/load.go
@@ -12,8 +12,9 @@
 
 // LoaderConfig bounds the calls of a Loader.
 type LoaderConfig struct {
-	// ReadsPerSecond limits the reads of service values. The default of 100 keeps 19
-	// watching instances within the 2,000 reads/s of the key-value service.
+	// ReadsPerSecond limits the reads of service values. The default of 50 keeps the 38
+	// watching instances of 19 failure domains within the 2,000 reads/s of the key-value
+	// service. As many reads are allowed at once.
 	ReadsPerSecond float64
 	Concurrency    int // default 8
 }
@@ -34,7 +35,7 @@
 // NewLoader returns a Loader without a known configuration.
 func NewLoader(s Store, cfg LoaderConfig) *Loader {
 	if cfg.ReadsPerSecond <= 0 {
-		cfg.ReadsPerSecond = 100
+		cfg.ReadsPerSecond = 50
 	}
 	if cfg.Concurrency <= 0 {
 		cfg.Concurrency = 8
