Add tests of indirect probes and of healing without false deaths; Synced

Cause: no test failed without indirect probes, and a healing split that kills the members of both sides for a moment was not seen. The daemon needs to know when a joining instance has the other domains. Change: two tests extended, one added, Machine.Synced, messages per second in BenchmarkControl.

--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -84,7 +84,7 @@
 func measureControl(b *testing.B, n *network, changes bool) {
 	const seconds = 41
 	for _, nd := range n.nodes {
-		nd.sent, nd.busy = 0, 0
+		nd.sent, nd.messages, nd.busy = 0, 0, 0
 	}
 	n.measure, n.framing = true, 60
 	for s := range seconds {
@@ -102,17 +102,21 @@
 		n.run(time.Second)
 	}
 	n.measure = false
-	var sent, busy, most float64
+	var sent, messages, busy, most, mostMessages float64
 	for _, nd := range n.nodes {
 		sent += float64(nd.sent)
+		messages += float64(nd.messages)
 		busy += nd.busy.Seconds()
 		if nd.up {
 			most = max(most, float64(nd.sent))
+			mostMessages = max(mostMessages, float64(nd.messages))
 		}
 	}
 	count := float64(len(n.live())) * seconds
 	b.ReportMetric(sent/count, "sentB/s")
 	b.ReportMetric(most/seconds, "max_sentB/s")
+	b.ReportMetric(messages/count, "msg/s")
+	b.ReportMetric(mostMessages/seconds, "max_msg/s")
 	b.ReportMetric(100*busy/count, "%core")
 	b.ReportMetric(0, "ns/op")
 }
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -223,6 +223,11 @@
 	return m.view
 }
 
+// Synced reports that the view was compared with that of a peer at least once. A joining
+// instance does not know the other domains before. An instance without live peers in its
+// domain is never synced.
+func (m *Machine) Synced() bool { return m.synced }
+
 // Fenced reports that other instances may have declared this one dead, so that it must
 // not dispatch: the machine was not called for longer than the suspicion time and has
 // not rejoined since, or another process with a higher incarnation uses the same ID.
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -85,13 +85,30 @@
 		}
 	}
 	t.Logf("60 s: %d false declarations, %d observer-intervals of 100 ms dead, longest %d", declared, deaths, longest)
-	if longest > 30 {
-		t.Errorf("an alive instance was dead in one view for %d00 ms", longest)
+	if longest > 30 || declared > 5 {
+		t.Errorf("%d false declarations; an alive instance was dead in one view for %d00 ms", declared, longest)
 	}
 	n.loss = 0
 	n.converge(5*time.Second, nil)
 }
 
+// Guards against a suspicion because of one broken connection.
+func TestIndirectProbePreventsSuspicion(t *testing.T) {
+	n := newNetwork(t, 4, 1, 5)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	a, b := n.nodes[0], n.nodes[1]
+	n.cut = func(x, y *node) bool { return x == a && y == b || x == b && y == a }
+	n.run(30 * time.Second)
+	for _, nd := range n.nodes {
+		for _, action := range nd.actions {
+			if d, ok := action.(Diagnostic); ok && d.Name == "membership-suspect" {
+				t.Fatalf("%s suspects %v", nd.inst.ID, d.Fields)
+			}
+		}
+	}
+}
+
 // Guards against a crashed instance that stays in the placement or in the views.
 func TestCrashedInstanceIsRemoved(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -129,8 +146,9 @@
 	t.Logf("cut seen after %v, healed after %v", took, n.converge(15*time.Second, nil))
 }
 
-// Guards against two halves of a domain that do not find each other again: shorter than
-// the dead retention, by pings to dead members; longer, by pings to forgotten ones.
+// Guards against two halves of a domain that do not find each other again (shorter than
+// the dead retention, by pings to dead members; longer, by pings to forgotten ones), that
+// kill the members of both when they do, or that do not learn of their takeover.
 func TestSplitInsideDomainHeals(t *testing.T) {
 	for _, length := range []time.Duration{20 * time.Second, 100 * time.Second} {
 		n := newNetwork(t, 7, 1, 10)
@@ -144,8 +162,22 @@
 		n.converge(6*time.Second, func(o, nd *node) bool { return half[o] == half[nd] })
 		n.run(length)
 		n.cut = nil
-		t.Logf("cut for %v healed after %v", length, n.converge(15*time.Second, nil))
-		n.run(5 * time.Second)
+		healed := time.Duration(0)
+		for step := range 100 {
+			n.run(100 * time.Millisecond)
+			for _, o := range n.nodes {
+				for _, nd := range n.nodes {
+					if e, _ := o.View().Member(nd.inst.ID); half[o] == half[nd] && e.State == Dead {
+						t.Fatalf("%s holds %s of its own half for dead", o.inst.ID, nd.inst.ID)
+					}
+				}
+			}
+			if healed == 0 && n.difference(nil) == "" {
+				healed = time.Duration(step+1) * 100 * time.Millisecond
+			}
+		}
+		t.Logf("cut for %v healed after %v", length, healed)
+		n.converge(0, nil)
 		for _, nd := range n.nodes {
 			if length < 60*time.Second && nd.rejoins == 0 {
 				t.Errorf("%s was declared dead by the other half and has not rejoined", nd.inst.ID)
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -31,6 +31,7 @@
 	version      uint64
 	incarnations map[string]uint64
 	sent         int64 // bytes
+	messages     int
 	busy         time.Duration
 }
 
@@ -163,6 +164,7 @@
 func (n *network) transmit(from *node, s Send) {
 	if n.measure {
 		from.sent += int64(proto.Size(s.Message)) + n.framing
+		from.messages++
 	}
 	if k := s.Message.Kind; (k == kindPing || k == kindAck) && len(s.Message.Updates) > maxUpdates+2 {
 		n.t.Fatalf("%d updates in one message", len(s.Message.Updates))
