Let a starting failure domain claim its backend servers once

The list lags by 2 s, so instances that start together joined without knowing each other, and each took all servers of its domain; one also took the servers of a domain that only looked vacant in the lagging list. Ruled out: view convergence (100 ms after the weights are announced), handover between running instances (0 overruns after the first second). Change: an instance joins when the list shows it, since such a list shows all that came before; a domain that was not running settles for 1 s before its servers are claimed; a starting instance vouches that nobody dispatched; a domain must look vacant for 10 s.

--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -94,7 +94,7 @@
 	self := s.daemon.settings.InstanceID
 	for id, svc := range r.byID {
 		sch := s.ensure(svc, now)
-		owned, candidates := s.assign(r, svc, self)
+		owned, candidates := s.assign(r, svc, self, now)
 		s.with(sch, func(d *dispatch.Scheduler) []dispatch.Action { return d.SetOwned(now, owned, r.view.Version) })
 		s.daemon.chooser.setCandidates(id, candidates)
 	}
@@ -119,10 +119,12 @@
 }
 
 // assign returns the servers of a service that this instance dispatches, and the
-// instances that dispatch any.
-func (s *schedulers) assign(r *routing, svc *service, self string) (owned []dispatch.Assignment, candidates []string) {
+// instances that dispatch any. The daemon's members.viewMu is held.
+func (s *schedulers) assign(r *routing, svc *service, self string, now time.Time) (owned []dispatch.Assignment, candidates []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	m := &s.daemon.members
+	settled := m.running || m.joined && now.Sub(m.joinedAt) >= settleTime
 	seen := map[string]bool{}
 	for i := range svc.BackendServers {
 		b := &svc.BackendServers[i]
@@ -142,6 +144,12 @@
 		if previous == "" || previous == self {
 			previous = previousDispatcher(r, b, self)
 		}
+		if !settled {
+			continue
+		}
+		if m.starting() {
+			previous = "" // nobody dispatched in this domain before
+		}
 		owned = append(owned, dispatch.Assignment{Server: *b, Previous: previous})
 	}
 	return owned, candidates
@@ -359,6 +367,9 @@
 func (d *Daemon) handleHandoverRequest(from string, in *peerpb.HandoverRequest) {
 	now := time.Now()
 	reply := &peerpb.HandoverReply{}
+	if d.vouchForUnused(from, in.Servers) {
+		return
+	}
 	for _, sch := range d.schedulers.all() {
 		names := ownServers(sch, in.Servers)
 		if len(names) == 0 {
@@ -373,6 +384,24 @@
 	d.sendTo(from, &peerpb.Envelope{Body: &peerpb.Envelope_HandoverReply{HandoverReply: reply}})
 }
 
+// vouchForUnused answers for servers that this instance would have taken itself, as
+// one that starts the domain: nobody dispatched them. Without it, an instance that
+// joins a starting domain would quarantine its servers for the longest deadline.
+func (d *Daemon) vouchForUnused(from string, names []string) bool {
+	d.members.viewMu.Lock()
+	starting := d.members.starting()
+	d.members.viewMu.Unlock()
+	if !starting {
+		return false
+	}
+	reply := &peerpb.HandoverReply{}
+	for _, name := range names {
+		reply.Servers = append(reply.Servers, &peerpb.ServerHandover{Server: name, WasOwner: true})
+	}
+	d.sendTo(from, &peerpb.Envelope{Body: &peerpb.Envelope_HandoverReply{HandoverReply: reply}})
+	return true
+}
+
 // ownServers returns the names that belong to the scheduler's service.
 func ownServers(sch *scheduler, names []string) []string {
 	sch.mu.Lock()
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -165,6 +165,8 @@
 		return
 	}
 	d.metrics.refused(result.IssuerLost)
+	d.log.Debug().Uint64("issuer_hash", ref.InstanceHash).Uint64(logging.Incarnation, ref.Incarnation).Bool("known", ok).
+		Uint32("hops", p.hops).Msg("permit_issuer_lost")
 	err = result.Errorf(result.IssuerLost, "outcome unknown: the instance that issued the permit cannot be reached")
 	d.send(p.service, p.key.Caller, refusal(p.message, edge.GatewayTimeout, err, 0))
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -36,12 +36,18 @@
 	serves   atomic.Bool // joined and routing in force
 	// joinedSignal is closed when serves is set.
 	joinedSignal chan struct{}
+	claimed      atomic.Bool // settled: servers without a dispatcher were taken
 	suspicion    time.Duration
 
-	viewMu sync.Mutex // serializes the processing of views
-	joined bool       // guarded by viewMu; see join.go
-	listed []string   // instances that the list shows as live; guarded by viewMu
-	states map[string]membership.State
+	viewMu   sync.Mutex // serializes the processing of views
+	joined   bool       // guarded by viewMu; see join.go
+	joinedAt time.Time  // guarded by viewMu
+	listedAt time.Time  // when the list first showed this instance; guarded by viewMu
+	// running: a member of the own domain had its weight when it was first seen, so
+	// the domain was running before this instance joined. Guarded by viewMu.
+	running bool
+	listed  []string // instances that the list shows as live; guarded by viewMu
+	states  map[string]membership.State
 }
 
 func (m *members) init(d *Daemon, self membership.Instance, now time.Time) {
@@ -140,6 +146,7 @@
 		for _, e := range v.Domains[i].Members {
 			seen[e.ID] = e.State
 			if old, ok := d.members.states[e.ID]; !ok || old != e.State {
+				d.noteRunning(&e, ok)
 				d.event("member_state", timeline.Field{Key: logging.Peer, Value: e.ID}, timeline.Field{Key: logging.State, Value: e.State.String()})
 			}
 		}
@@ -154,6 +161,13 @@
 	return died
 }
 
+// noteRunning notes that the own domain was running before this instance joined.
+func (d *Daemon) noteRunning(e *membership.Entry, seenBefore bool) {
+	if !seenBefore && e.Domain == d.settings.FailureDomain && e.ID != d.settings.InstanceID && e.State == membership.Alive && e.Weight > 0 {
+		d.members.running = true
+	}
+}
+
 // applyRouting puts a routing snapshot into force.
 func (d *Daemon) applyRouting(r *routing, now time.Time) {
 	d.routes.Store(r)
--- a/membership/hint.go
+++ b/membership/hint.go
@@ -101,13 +101,26 @@
 		if d == m.own || !credible {
 			continue
 		}
-		if vacant := m.isVacant(d); vacant != d.vacant {
+		if vacant := m.vacantLongEnough(now, d); vacant != d.vacant {
 			d.vacant = vacant
 			d.dirty, m.changed = true, true
 		}
 	}
 }
 
+// vacantLongEnough reports that a domain has been vacant for the takeover delay. The
+// list lags, so a domain whose instances have just started can look vacant at first.
+func (m *Machine) vacantLongEnough(now time.Time, d *domain) bool {
+	if !m.isVacant(d) {
+		d.vacantSince = time.Time{}
+		return false
+	}
+	if d.vacantSince.IsZero() {
+		d.vacantSince = now
+	}
+	return now.Sub(d.vacantSince) >= m.cfg.TakeoverDelay
+}
+
 // isVacant reports that a domain has no instance that could still dispatch its servers:
 // none that is listed, except those that have announced to leave, and none that answers.
 func (m *Machine) isVacant(d *domain) bool {
--- a/membership/join.go
+++ b/membership/join.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// Synced reports whether the instance has had the same state as another member of its
-// failure domain once. Until then its view may lack members.
-func (m *Machine) Synced() bool { return m.synced }
-
 // SetWeight announces a new size of this instance. An instance starts with weight 0,
 // which owns nothing, and takes its weight when its view is complete.
 func (m *Machine) SetWeight(now time.Time, weight uint32) []Action {
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -384,6 +384,11 @@
 		t.Errorf("server of an unreachable listed domain is dispatched by %v", e)
 	}
 	n.hintAll()
+	if e, ok := o.View().Dispatcher("dom02", "server"); !ok || e.Domain != "dom02" {
+		t.Errorf("server of a domain that looks vacant for a moment is dispatched by %v", e)
+	}
+	n.run(defaultTakeoverDelay)
+	n.hintAll()
 	e, ok := o.View().Dispatcher("dom02", "server")
 	for _, nd := range n.live() {
 		if got, _ := nd.View().Dispatcher("dom02", "server"); !ok || e.Domain == "dom02" || got.ID != e.ID {
--- a/membership/member.go
+++ b/membership/member.go
@@ -141,8 +141,9 @@
 	lastFull    time.Time
 	queued      *update
 
-	listed []Instance // from the instance list
-	vacant bool       // see Domain.vacant
+	listed      []Instance // from the instance list
+	vacant      bool       // see Domain.vacant
+	vacantSince time.Time
 	// delegates exchange summaries with other domains.
 	delegates [2]*member
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -26,6 +26,9 @@
 	SuspicionTimeout time.Duration
 	DomainInterval   time.Duration
 	DeadRetention    time.Duration
+	// TakeoverDelay is how long a domain must look vacant before other domains
+	// dispatch its backend servers. It must exceed the lag of the instance list.
+	TakeoverDelay time.Duration
 }
 
 const (
@@ -35,6 +38,7 @@
 	defaultSuspicionTimeout = 1200 * time.Millisecond
 	defaultDomainInterval   = 500 * time.Millisecond
 	defaultDeadRetention    = 60 * time.Second
+	defaultTakeoverDelay    = 10 * time.Second
 )
 
 func (c *Config) setDefaults() {
@@ -48,6 +52,7 @@
 	def(&c.SuspicionTimeout, defaultSuspicionTimeout)
 	def(&c.DomainInterval, defaultDomainInterval)
 	def(&c.DeadRetention, defaultDeadRetention)
+	def(&c.TakeoverDelay, defaultTakeoverDelay)
 	if c.IndirectProbes <= 0 {
 		c.IndirectProbes = defaultIndirectProbes
 	}
