dispatch: choose dispatchers by work per capacity and a part of the backlog

Cause: with free slots first, all instances that saw a summary sent to the same free slots. The model's summary timers were in phase, which made it worse than real; they are now spread. Change: lowest work sent per capacity plus 1/n of the backlog, among the dispatchers whose expected wait is within 10 ms of the shortest. Work sent before the first summary no longer counts. Conclusion: kept; the decision time of Choose is still to be reduced.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -91,28 +91,31 @@
 	}
 }
 
-// BenchmarkPolicies compares the policies of the chooser in simulated time: 8
-// instances, 15 servers whose speeds differ by 1 to 8, 90% load, 5 seeds.
+// BenchmarkPolicies compares the policies of the chooser in simulated time: servers
+// whose speeds differ by 1 to 8, 90% load, 5 seeds.
 func BenchmarkPolicies(b *testing.B) {
-	for _, p := range []Policy{PolicySummaries, PolicyNoSummary, PolicyRoundRobin, PolicyRandom} {
-		b.Run(p.String(), func(b *testing.B) {
-			const seeds = 5
-			var balance, wait, refused []float64
-			for b.Loop() {
-				balance, wait, refused = nil, nil, nil
-				for seed := uint64(1); seed <= seeds; seed++ {
-					m := newModel(seed, 8, speeds8(15), Config{}, p)
-					r := m.measure(0.9, 10*time.Second)
-					balance = append(balance, imbalance(r.utilization))
-					wait = append(wait, r.p99Wait.Seconds()*1000)
-					refused = append(refused, float64(r.refused))
+	const seeds = 5
+	for _, size := range [][2]int{{8, 15}, {70, 140}} {
+		for _, p := range []Policy{PolicySummaries, PolicyNoSummary, PolicyRoundRobin, PolicyRandom} {
+			b.Run(fmt.Sprintf("instances=%d/servers=%d/%v", size[0], size[1], p), func(b *testing.B) {
+				var balance, wait, refused []float64
+				for b.Loop() {
+					balance, wait, refused = nil, nil, nil
+					for seed := uint64(1); seed <= seeds; seed++ {
+						m := newModel(seed, size[0], speeds8(size[1]), Config{}, p)
+						r := m.measure(0.9, 10*time.Second)
+						balance = append(balance, imbalance(r.utilization))
+						wait = append(wait, r.p99Wait.Seconds()*1000)
+						refused = append(refused, float64(r.refused))
+					}
 				}
-			}
-			b.ReportMetric(mean(balance), "imbalance")
-			b.ReportMetric(slices.Max(balance), "imbalance-max")
-			b.ReportMetric(mean(wait), "p99-wait-ms")
-			b.ReportMetric(mean(refused), "refused/run")
-			b.ReportMetric(0, "ns/op")
-		})
+				b.ReportMetric(mean(balance), "imbalance")
+				b.ReportMetric(slices.Max(balance), "imbalance-max")
+				b.ReportMetric(mean(wait), "p99-wait-ms")
+				b.ReportMetric(slices.Max(wait), "p99-wait-max-ms")
+				b.ReportMetric(mean(refused), "refused/run")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
 	}
 }
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,8 +14,8 @@
 
 // The policies. All but PolicySummaries are baselines for measurements.
 const (
-	// PolicySummaries prefers dispatchers with free slots, otherwise the shorter
-	// expected wait of two.
+	// PolicySummaries balances the work per capacity and corrects it by the backlog in
+	// the summaries.
 	PolicySummaries Policy = iota
 	PolicyRandom
 	PolicyRoundRobin
@@ -40,11 +41,20 @@
 	DefaultFailureBackoff = 500 * time.Millisecond
 	// scanLimit is the number of candidates up to which all are compared. A sample of
 	// sampleSize keeps the decision flat above it.
-	scanLimit  = 32
-	sampleSize = 16
+	scanLimit  = 80
+	sampleSize = 32
 	// maxSentLag bounds, in seconds of the dispatcher's capacity, how much a candidate
 	// that was not chosen catches up.
 	maxSentLag = 0.5
+	// backlogMemory is the age, in seconds, at which the backlog of a summary no longer
+	// counts: by then the requests of others have changed it.
+	backlogMemory = 0.2
+	// maxExtraWait, in seconds, is how much longer than the shortest the expected wait
+	// may be for a dispatcher to be considered.
+	maxExtraWait = 0.01
+	// unknownWait, in seconds, is assumed without a fresh summary: the dispatcher is used
+	// when all others have a noticeable queue.
+	unknownWait = 0.05
 )
 
 // candidate is a dispatcher of a service as seen from this instance.
@@ -78,6 +88,7 @@
 	cfg      ChooserConfig
 	rng      *rand.Rand
 	services map[uint32]*candidates
+	sample   []evaluation // scratch
 }
 
 // NewChooser returns a chooser without candidates.
@@ -138,6 +149,9 @@
 	if d.known && sum.GetSeq() <= d.seq && d.seq-sum.GetSeq() < seqRestart {
 		return // overtaken by a newer one
 	}
+	if d.seq == 0 {
+		d.work = s.virtual // what was sent before its capacity was known does not count
+	}
 	d.known, d.seen, d.seq, d.sent = true, now, sum.GetSeq(), 0
 	d.free = float64(sum.GetFreeSlots())
 	d.wait = float64(sum.GetExpectedWaitMs()) / 1000
@@ -188,14 +202,17 @@
 	d.pending++
 	d.work = max(d.work, s.virtual-maxSentLag)
 	s.virtual = max(s.virtual, d.work)
-	if s.maxRate > 0 {
-		d.work += 1 / max(d.rate, minRate(s))
+	rate := d.rate
+	if !d.known || rate == 0 {
+		rate = s.maxRate
+	}
+	if rate > 0 {
+		d.work = min(d.work+1/max(rate, minRate(s)), s.virtual+maxSentLag)
 	}
-	d.work = min(d.work, s.virtual+maxSentLag)
 }
 
 // minRate is assumed for a dispatcher of unknown or zero rate.
-func minRate(s *candidates) float64 { return max(s.maxRate/float64(sampleSize), 1) }
+func minRate(s *candidates) float64 { return max(s.maxRate/16, 1) }
 
 // Failed records that a dispatcher could not be reached or did not answer.
 func (c *Chooser) Failed(now time.Time, service uint32, instance string) {
@@ -206,85 +223,76 @@
 	}
 }
 
-// bySummary takes a dispatcher with a free slot. Among several it takes the one that
-// was sent the least work in relation to its capacity.
+// bySummary takes the dispatcher with the lowest score among those with a short
+// expected wait; see score.
 func (c *Chooser) bySummary(now time.Time, s *candidates, exclude []string) int {
-	best := -1
-	consider := func(i int) {
-		d := &s.list[i]
-		if !c.fresh(now, d) || d.free-d.sent < 1 || slices.Contains(exclude, d.instance) {
-			return
-		}
-		if best < 0 || d.work < s.list[best].work {
-			best = i
-		}
-	}
 	n := len(s.list)
-	start := c.rng.IntN(n)
-	if n <= scanLimit {
-		for k := range n {
-			consider((start + k) % n)
-		}
+	samples, start := n, 0
+	if n > scanLimit {
+		samples = sampleSize
 	} else {
-		for range sampleSize {
-			consider(c.rng.IntN(n))
-		}
+		start = c.rng.IntN(n)
 	}
-	if best >= 0 {
-		return best
+	c.sample = c.sample[:0]
+	shortest := math.Inf(1)
+	for k := range samples {
+		i := (start + k) % n
+		if n > scanLimit {
+			i = c.rng.IntN(n)
+		}
+		d := &s.list[i]
+		if now.Before(d.avoid) || d.closed && c.fresh(now, d) || slices.Contains(exclude, d.instance) {
+			continue
+		}
+		e := c.evaluate(now, s, d)
+		e.index = i
+		shortest = min(shortest, e.wait)
+		c.sample = append(c.sample, e)
 	}
-	return c.shorterWait(now, s, exclude)
-}
-
-// shorterWait takes the shorter expected wait of two dispatchers that are drawn in
-// proportion to their capacity.
-func (c *Chooser) shorterWait(now time.Time, s *candidates, exclude []string) int {
-	i, j := c.weighted(now, s, exclude), c.weighted(now, s, exclude)
-	if i < 0 || j < 0 {
-		return max(i, j)
+	best := -1
+	lowest := math.Inf(1)
+	for i := range c.sample {
+		if e := &c.sample[i]; e.wait <= shortest+maxExtraWait && e.score < lowest {
+			best, lowest = e.index, e.score
+		}
 	}
-	if c.expectedWait(now, s, j) < c.expectedWait(now, s, i) {
-		return j
+	if best < 0 {
+		return c.uniform(s, exclude)
 	}
-	return i
+	return best
 }
 
-func (c *Chooser) fresh(now time.Time, d *candidate) bool {
-	return d.known && now.Sub(d.seen) <= c.cfg.SummaryMaxAge && !now.Before(d.avoid)
+// evaluation is a candidate's part in one choice. Both values are seconds.
+type evaluation struct {
+	index       int
+	wait, score float64
 }
 
-// expectedWait returns seconds; the requests sent since the summary are ahead.
-func (c *Chooser) expectedWait(now time.Time, s *candidates, i int) float64 {
-	d := &s.list[i]
+// evaluate computes the expected wait of a candidate and its score. The score is the
+// work that this instance sent to it, in seconds of its capacity, plus this instance's
+// part of its backlog. A backlog is negative while slots are free.
+//
+// Equal work per capacity balances the dispatchers, and the backlog corrects for what
+// others send. Each of about as many instances as there are candidates sees the same
+// backlog, so each corrects only its part. When each went to the free slots of the
+// summaries first, the 99th percentile of the wait was 2 times as long with 8 instances
+// and 6 times with 70.
+func (c *Chooser) evaluate(now time.Time, s *candidates, d *candidate) evaluation {
+	e := evaluation{score: max(d.work, s.virtual-maxSentLag)}
 	if !c.fresh(now, d) {
-		return unknownWait
+		e.wait = unknownWait
+		return e
 	}
-	return d.wait + max(0, d.sent-d.free+1)/max(d.rate, minRate(s))
+	age := now.Sub(d.seen).Seconds()
+	backlog := d.wait + (d.sent-d.free)/max(d.rate, minRate(s))
+	e.wait = max(0, backlog-age)
+	share := 1 / float64(len(s.list)) * max(0, 1-age/backlogMemory)
+	e.score += backlog * share
+	return e
 }
 
-// unknownWait, in seconds, is assumed for a dispatcher without a fresh summary: it is
-// used when the others have a noticeable queue.
-const unknownWait = 0.05
-
-// weighted draws a dispatcher in proportion to its rate, by rejection.
-func (c *Chooser) weighted(now time.Time, s *candidates, exclude []string) int {
-	const tries = 16
-	last := -1
-	for range tries {
-		i := c.rng.IntN(len(s.list))
-		d := &s.list[i]
-		if slices.Contains(exclude, d.instance) || now.Before(d.avoid) || d.closed && c.fresh(now, d) {
-			continue
-		}
-		last = i
-		if c.rng.Float64()*s.maxRate <= max(d.rate, minRate(s)) {
-			return i
-		}
-	}
-	if last >= 0 {
-		return last
-	}
-	return c.uniform(s, exclude)
+func (c *Chooser) fresh(now time.Time, d *candidate) bool {
+	return d.known && now.Sub(d.seen) <= c.cfg.SummaryMaxAge && !now.Before(d.avoid)
 }
 
 // uniform draws any candidate that is not excluded, or -1.
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -51,9 +51,9 @@
 // a summary that is used for more requests than it had free slots.
 func TestChooserUsesFreeSlotsFirst(t *testing.T) {
 	f := newChooserFixture(3)
-	f.summary(0, 0, 1, 1000)
-	f.summary(1, 5, 0, 10)
-	f.summary(2, 0, 1, 1000)
+	f.summary(0, 0, 20, 1000)
+	f.summary(1, 5, 0, 100)
+	f.summary(2, 0, 20, 1000)
 	if got := f.counts(5); got["i1"] != 5 {
 		t.Errorf("5 requests went to %v, want i1 with 5 free slots", got)
 	}
@@ -62,14 +62,40 @@
 	}
 }
 
+// Guards against many instances that all send to the free slots of one summary: each
+// uses its part, so that on average they use the free slots once, beside the share that
+// the dispatcher gets anyway. The instances have sent different work before.
+func TestChoosersDoNotHerd(t *testing.T) {
+	const instances, trials, requests, free = 20, 30, 2, 4
+	rng := rand.New(rand.NewPCG(1, 2))
+	sent := 0
+	for range trials * instances {
+		f := newChooserFixture(instances)
+		for range 2 {
+			for i := range instances {
+				f.summary(i, 1, 0, uint32(50+rng.IntN(100)))
+			}
+			f.counts(20 + rng.IntN(40))
+		}
+		for i := range instances {
+			f.summary(i, 1, 0, 100)
+		}
+		f.summary(7, free, 0, 100)
+		sent += f.counts(requests)["i7"]
+	}
+	if got, want := float64(sent)/trials, float64(free+requests); got > want {
+		t.Errorf("%d instances sent %.1f requests to a dispatcher with %d free slots, want %.1f", instances, got, free, want)
+	}
+}
+
 // Guards against work that is not in proportion to the capacity, also when only a
 // sample of many candidates is compared.
 func TestChooserFollowsCapacity(t *testing.T) {
-	for _, n := range []int{8, 120} {
+	for _, n := range []int{8, 70, 300} {
 		f := newChooserFixture(n)
 		total := 0.0
 		for i := range n {
-			f.summary(i, 1<<20, 0, uint32(100+700*i/(n-1)))
+			f.summary(i, 4, 0, uint32(100+700*i/(n-1)))
 			total += float64(100 + 700*i/(n-1))
 		}
 		const requests = 200000
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -117,7 +117,10 @@
 			}
 		}
 	})
-	m.every(100*time.Millisecond, m.exchangeSummaries)
+	for _, n := range m.nodes {
+		// The timers of the instances are not in phase.
+		m.after(time.Duration(m.rng.IntN(100))*time.Millisecond, func() { m.every(100*time.Millisecond, n.sendSummary) })
+	}
 	return m
 }
 
@@ -140,15 +143,14 @@
 	m.now = end
 }
 
-func (m *model) exchangeSummaries() {
-	for _, from := range m.nodes {
-		if from.dead {
-			continue
-		}
-		sum := from.sched.Summary(m.now)
-		for _, to := range m.nodes {
-			m.after(m.latency, func() { to.chooser.Observe(m.now, from.id, sum) })
-		}
+// sendSummary sends the summary to all instances.
+func (n *node) sendSummary() {
+	if n.dead {
+		return
+	}
+	sum := n.sched.Summary(n.m.now)
+	for _, to := range n.m.nodes {
+		n.m.after(n.m.latency, func() { to.chooser.Observe(n.m.now, n.id, sum) })
 	}
 }
 
