Replace the flow table by a sharded one with compact entries

Flows take 32 bytes and streams 44 in pointer-free slabs; requests and names are stored once per table. Copies to the runner-up are paced by a byte budget in the order exceptions, removals, longest-lived; a stream that gets another runner-up is copied again and its former copy removed. Observe numbers are kept in 64 bits, and a copy carries the holder's clock, so a take-over does not step back.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -1,6 +1,10 @@
 // Package flow keeps the flows and streams of one entry instance: which callers are
 // known, which streams the instance holds, and copies of the streams for which it is
-// the runner-up. It is safe for concurrent use.
+// the runner-up. Table is safe for concurrent use.
+//
+// When a limit is reached, flows without a stream give way first, those idle for
+// longest before others. A flow with a stream is never evicted; new flows, streams
+// and copies are refused instead.
 package flow
 
 import (
@@ -19,17 +23,46 @@
 
 // Hash returns the placement key of the flow, equal on every instance.
 func (k Key) Hash() uint64 {
-	var b [22]byte
+	p := pack(k)
+	return xxhash.Sum64(p[:])
+}
+
+// packedKey holds address, port and service ID of a Key. IPv4 addresses are stored in
+// their mapped form, so a caller has one key in either notation.
+type packedKey [22]byte
+
+func pack(k Key) (p packedKey) {
 	addr := k.Caller.Addr().As16()
-	copy(b[:], addr[:])
-	binary.BigEndian.PutUint16(b[16:], k.Caller.Port())
-	binary.BigEndian.PutUint32(b[18:], k.ServiceID)
-	return xxhash.Sum64(b[:])
+	copy(p[:], addr[:])
+	binary.BigEndian.PutUint16(p[16:], k.Caller.Port())
+	binary.BigEndian.PutUint32(p[18:], k.ServiceID)
+	return p
+}
+
+func (p *packedKey) unpack() Key {
+	addr := netip.AddrFrom16([16]byte(p[:16])).Unmap()
+	return Key{
+		Caller:    netip.AddrPortFrom(addr, binary.BigEndian.Uint16(p[16:])),
+		ServiceID: binary.BigEndian.Uint32(p[18:]),
+	}
 }
 
 // MaxToken is the length limit of a CoAP token.
 const MaxToken = 8
 
+// packedToken is a CoAP token with its length.
+type packedToken struct {
+	bytes [MaxToken]byte
+	len   uint8
+}
+
+func packToken(b []byte) (p packedToken) {
+	p.len = uint8(copy(p.bytes[:], b))
+	return p
+}
+
+func (p packedToken) unpack() []byte { return append([]byte(nil), p.bytes[:p.len]...) }
+
 // Record is a stream: a flow with an Observe registration. Token and Request must
 // not be modified.
 type Record struct {
@@ -37,21 +70,42 @@
 	ID        uint64 // set by the table
 	Token     []byte
 	Request   []byte // registration request, options and path
-	Server    string // backend server; in a copy, empty unless Exception
+	Server    string // backend server; communicated only if Exception
 	Exception bool   // Server is not the computed one
 	Sequence  uint32 // last Observe number
 	Created   time.Time
-	Removed   bool // in copies: the stream has ended
+	Removed   bool // in copies: the stream has ended or has another runner-up
+}
+
+// WireSize estimates the bytes of the record as an encoded peerpb.FlowRecord.
+func (r Record) WireSize() int {
+	// Tag and length of the record and of caller, service ID and token.
+	size := 8 + len(r.Token)
+	if r.Caller.Addr().Unmap().Is4() {
+		size += 6
+	} else {
+		size += 18
+	}
+	if r.Removed {
+		return size + 2
+	}
+	size += 2 + len(r.Request)
+	if r.Exception {
+		size += 2 + len(r.Server)
+	}
+	return size + 5 + 4 // sequence and age with their tags
 }
 
-// Move is a planned change of a stream's backend server.
+// Move is a planned change of a stream's backend server. The new registration must
+// notify before the old one is cancelled.
 type Move struct {
 	ID   uint64
 	From string
 	To   string
 }
 
-// NewFlowLimiter limits new flows by source prefix.
+// NewFlowLimiter limits new flows by source prefix. It must be safe for concurrent
+// use.
 type NewFlowLimiter interface {
 	// Allow reports whether a new flow of the caller may be admitted.
 	Allow(now time.Time, caller netip.Addr) bool
@@ -59,7 +113,9 @@
 
 // Defaults of Config.
 const (
-	DefaultShards      = 256
+	// DefaultShards keeps the workers of a 10-core machine from waiting for each
+	// other, and identical requests are stored once per shard.
+	DefaultShards      = 64
 	DefaultMaxFlows    = 1 << 20
 	DefaultMaxStreams  = 1 << 19
 	DefaultMaxCopies   = 1 << 19
@@ -67,18 +123,22 @@
 	// DefaultCopyAge keeps short streams out of the control traffic.
 	DefaultCopyAge     = 2 * time.Second
 	DefaultMoveTimeout = 10 * time.Second
+	// DefaultReplanInterval is the time after which PlanMoves examines all streams
+	// again without a call of Replan.
+	DefaultReplanInterval = 30 * time.Second
 )
 
 // Config holds the limits of a Table. Zero values select the defaults.
 type Config struct {
-	Shards      int // rounded up to a power of two
-	MaxFlows    int
-	MaxStreams  int
-	MaxCopies   int
-	IdleTimeout time.Duration // flows without a stream are forgotten after it
-	CopyAge     time.Duration // streams are copied from this age on
-	MoveTimeout time.Duration // a planned move may be planned again after it
-	Limiter     NewFlowLimiter
+	Shards         int // rounded up to a power of two, at most maxShards
+	MaxFlows       int
+	MaxStreams     int
+	MaxCopies      int
+	IdleTimeout    time.Duration // flows without a stream are forgotten after it
+	CopyAge        time.Duration // streams are copied from this age on
+	MoveTimeout    time.Duration // an unfinished move may be planned again after it
+	ReplanInterval time.Duration
+	Limiter        NewFlowLimiter // nil: no limit
 	// Clock returns the hybrid logical clock in ms. It keeps Observe numbers
 	// monotonic over a take-over when the clocks of the holders differ.
 	Clock func() uint64
@@ -92,9 +152,12 @@
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.CopyAge, DefaultCopyAge)
 	setDefault(&c.MoveTimeout, DefaultMoveTimeout)
-	if c.Clock == nil {
-		c.Clock = func() uint64 { return 0 }
+	setDefault(&c.ReplanInterval, DefaultReplanInterval)
+	shards := 1
+	for shards < min(c.Shards, maxShards) {
+		shards *= 2
 	}
+	c.Shards = shards
 	return c
 }
 
--- /dev/null
+++ b/flow/flow_test.go
@@ -0,0 +1,560 @@
+package flow
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonthread/monsoonthread/placement"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// The defaults are set before the command line is parsed, which can change them.
+func init() {
+	for name, value := range map[string]string{"rapid.checks": "500", "rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func keyOf(n int) Key {
+	return Key{
+		Caller:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), uint16(1000+n%7)),
+		ServiceID: uint32(1 + n%3),
+	}
+}
+
+func streamOf(n int, created time.Time) Record {
+	return Record{Key: keyOf(n), Token: []byte{byte(n), byte(n >> 8), byte(n >> 16)}, Request: []byte("observe suite"), Created: created}
+}
+
+func always(to string) func(Key) string { return func(Key) string { return to } }
+
+// Guards against lost, mixed up or resurrected flows and streams, against the
+// eviction of a flow that has a stream or is in use, and against passing the limits.
+func TestTableAgainstModel(t *testing.T) {
+	type modelStream struct {
+		id  uint64
+		rec Record
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{
+			Shards:      rapid.SampledFrom([]int{1, 2}).Draw(t, "shards"),
+			MaxFlows:    rapid.SampledFrom([]int{4, 30}).Draw(t, "flows"),
+			MaxStreams:  rapid.SampledFrom([]int{3, 30}).Draw(t, "streams"),
+			IdleTimeout: time.Minute,
+		}
+		table, now := NewTable(cfg), start
+		seen := map[Key]time.Time{}
+		streams := map[string]modelStream{} // by flow and token
+		held := func(k Key) bool {
+			for _, s := range streams {
+				if s.rec.Key == k {
+					return true
+				}
+			}
+			return false
+		}
+		flow := func(t *rapid.T) Key { return keyOf(rapid.IntRange(0, 40).Draw(t, "flow")) }
+		name := func(k Key, token []byte) string { return fmt.Sprint(k, token) }
+		checkError := func(t *rapid.T, err error, k Key) bool {
+			if err == nil {
+				return false
+			}
+			flows, count, _ := table.Len()
+			if result.CodeOf(err) != result.TableFull || (flows < cfg.MaxFlows && count < cfg.MaxStreams) {
+				t.Fatalf("%v with %d flows and %d streams", err, flows, count)
+			}
+			return true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"touch": func(t *rapid.T) {
+				k := flow(t)
+				isNew, err := table.Touch(now, k)
+				if isNew && (held(k) || !seen[k].IsZero() && now.Sub(seen[k]) < minIdle) {
+					t.Fatalf("flow %v was forgotten while in use", k)
+				}
+				if !checkError(t, err, k) {
+					seen[k] = now
+				}
+			},
+			"register": func(t *rapid.T) {
+				r := Record{Key: flow(t), Token: rapid.SliceOfN(rapid.Byte(), 0, 2).Draw(t, "token"), Request: []byte{rapid.Byte().Draw(t, "request")}}
+				id, err := table.Register(now, r)
+				if checkError(t, err, r.Key) {
+					if _, ok := streams[name(r.Key, r.Token)]; ok {
+						t.Fatalf("a held stream was not renewed: %v", err)
+					}
+					return
+				}
+				s, renewed := streams[name(r.Key, r.Token)]
+				if renewed && s.id != id {
+					t.Fatalf("renewal changed the ID from %x to %x", s.id, id)
+				}
+				r.Server, r.Sequence = s.rec.Server, s.rec.Sequence
+				streams[name(r.Key, r.Token)] = modelStream{id, r}
+				seen[r.Key] = now
+			},
+			"change": func(t *rapid.T) {
+				if len(streams) == 0 {
+					return
+				}
+				k := slices.Min(slices.Collect(maps.Keys(streams)))
+				s := streams[k]
+				s.rec.Server = rapid.SampledFrom([]string{"host-1", "host-2"}).Draw(t, "server")
+				table.SetServer(s.id, s.rec.Server, true)
+				s.rec.Sequence, _ = table.Notify(s.id, 1)
+				streams[k] = s
+			},
+			"remove": func(t *rapid.T) {
+				if len(streams) == 0 {
+					return
+				}
+				k := slices.Min(slices.Collect(maps.Keys(streams)))
+				if id := streams[k].id; !table.Remove(id) || table.Remove(id) {
+					t.Fatalf("stream %x was not removed exactly once", id)
+				}
+				delete(streams, k)
+			},
+			"hand over": func(t *rapid.T) {
+				service := rapid.Uint32Range(1, 3).Draw(t, "service")
+				for {
+					batch := table.HandOver(now, 2, func(k Key) string {
+						if k.ServiceID == service {
+							return "other"
+						}
+						return ""
+					})["other"]
+					if len(batch) > 2 {
+						t.Fatalf("batch of %d", len(batch))
+					}
+					for _, r := range batch {
+						if _, ok := streams[name(r.Key, r.Token)]; !ok || r.ServiceID != service {
+							t.Fatalf("handed over %v", r)
+						}
+						delete(streams, name(r.Key, r.Token))
+					}
+					if len(batch) == 0 {
+						return
+					}
+				}
+			},
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
+			},
+			"expire": func(t *rapid.T) {
+				table.Expire(now)
+				recent := 0
+				for k, at := range seen {
+					if held(k) || now.Sub(at) < cfg.IdleTimeout {
+						recent++
+					}
+				}
+				if flows, _, _ := table.Len(); flows > recent {
+					t.Fatalf("%d flows, %d are recent", flows, recent)
+				}
+			},
+			"": func(t *rapid.T) {
+				flows, count, _ := table.Len()
+				if flows > cfg.MaxFlows || count > cfg.MaxStreams || count != len(streams) {
+					t.Fatalf("%d flows, %d streams, model %d", flows, count, len(streams))
+				}
+				for _, s := range streams {
+					for _, get := range []func() (Record, bool){
+						func() (Record, bool) { return table.ByID(s.id) },
+						func() (Record, bool) { return table.Stream(s.rec.Key, s.rec.Token) },
+					} {
+						r, ok := get()
+						if !ok || r.ID != s.id || r.Key != s.rec.Key || !bytes.Equal(r.Token, s.rec.Token) ||
+							!bytes.Equal(r.Request, s.rec.Request) || r.Server != s.rec.Server || r.Sequence != s.rec.Sequence {
+							t.Fatalf("got %+v, want %+v", r, s.rec)
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against an established stream without a copy, a copy that outlives its
+// stream, and a copy that is out of date, when streams, servers and runner-ups change
+// and the budget allows all copies. Each runner-up is a table; the crash is simulated
+// by a take-over from all of them.
+func TestTakeOverAfterCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		holder := NewTable(Config{Shards: 2})
+		peers := map[string]*Table{"b": NewTable(Config{}), "c": NewTable(Config{})}
+		epoch := 0
+		runnerUp := func(k Key) string { return string("bc"[(int(k.ServiceID)+epoch)/2%2]) }
+		live := map[int]uint64{}
+		exchange := func(budget int) {
+			for to, rs := range holder.Copies(now, runnerUp, budget) {
+				peers[to].StoreCopies(now, "a", rs)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"register": func(t *rapid.T) {
+				n := rapid.IntRange(0, 30).Draw(t, "stream")
+				r := streamOf(n, time.Time{})
+				r.Request = []byte{rapid.Byte().Draw(t, "request")}
+				id, err := holder.Register(now, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				live[n] = id
+			},
+			"exception": func(t *rapid.T) {
+				if len(live) > 0 {
+					id := live[rapid.SampledFrom(slices.Sorted(maps.Keys(live))).Draw(t, "stream")]
+					holder.SetServer(id, rapid.SampledFrom([]string{"s1", "s2"}).Draw(t, "server"), rapid.Bool().Draw(t, "exception"))
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(live) > 0 {
+					n := rapid.SampledFrom(slices.Sorted(maps.Keys(live))).Draw(t, "stream")
+					holder.Remove(live[n])
+					delete(live, n)
+				}
+			},
+			"view": func(t *rapid.T) { epoch++; holder.RunnerUpsChanged() },
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				exchange(rapid.IntRange(30, 4000).Draw(t, "budget"))
+			},
+		})
+		for range 5 { // the budget catches up
+			now = now.Add(time.Second)
+			exchange(1 << 20)
+		}
+		got := map[string]Record{}
+		for id, peer := range peers {
+			for _, r := range peer.TakeOver(now, "a") {
+				if runnerUp(r.Key) != id || got[fmt.Sprint(r.Key, r.Token)].Token != nil {
+					t.Fatalf("%s has a copy of %v, whose runner-up is %s", id, r.Key, runnerUp(r.Key))
+				}
+				got[fmt.Sprint(r.Key, r.Token)] = r
+			}
+			if _, _, copies := peer.Len(); copies != 0 {
+				t.Fatalf("%d copies are left", copies)
+			}
+		}
+		if len(got) != len(live) {
+			t.Fatalf("%d copies of %d streams", len(got), len(live))
+		}
+		for _, id := range live {
+			want, _ := holder.ByID(id)
+			r := got[fmt.Sprint(want.Key, want.Token)]
+			if !want.Exception {
+				want.Server = ""
+			}
+			if !bytes.Equal(r.Request, want.Request) || r.Server != want.Server || r.Exception != want.Exception || r.Created.Sub(want.Created).Abs() > tick {
+				t.Fatalf("copy %+v of %+v", r, want)
+			}
+		}
+	})
+}
+
+// Guards against control traffic above the budget and against copies in another
+// order than exceptions, removals, longest-lived streams.
+func TestCopiesArePaced(t *testing.T) {
+	const budget, streams, seconds = 2000, 1000, 10
+	table := NewTable(Config{})
+	for n := range streams {
+		r := streamOf(n, start.Add(-time.Duration(1+n*37%streams)*time.Minute))
+		r.Exception, r.Server = n%50 == 0, "host-7"
+		if _, err := table.Register(start, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var sent []Record
+	bytes := 0
+	for ms := 0; ms <= seconds*1000; ms += 50 {
+		for _, r := range table.Copies(start.Add(time.Duration(ms)*time.Millisecond), always("b"), budget)["b"] {
+			sent = append(sent, r)
+			bytes += r.WireSize()
+		}
+	}
+	if limit := budget * (seconds + 1); bytes > limit+100 || bytes < limit*9/10 {
+		t.Errorf("%d bytes in %d s at %d bytes/s", bytes, seconds, budget)
+	}
+	if !slices.IsSortedFunc(sent, func(a, b Record) int {
+		if a.Exception != b.Exception {
+			if a.Exception {
+				return -1
+			}
+			return 1
+		}
+		return a.Created.Compare(b.Created)
+	}) {
+		t.Error("copies are not in order")
+	}
+	if !sent[streams/50-1].Exception || len(sent) == streams {
+		t.Fatalf("%d copies, the first ones are not the exceptions", len(sent))
+	}
+	copied, _ := table.Stream(sent[0].Key, sent[0].Token)
+	table.Remove(copied.ID)
+	later := start.Add((seconds + 1) * time.Second)
+	if next := table.Copies(later, always("b"), budget)["b"]; !next[0].Removed {
+		t.Errorf("the removal does not come before %+v", next[0])
+	}
+}
+
+// Guards against a copy that is removed by a former holder whose removal is late.
+func TestLateRemovalKeepsNewCopy(t *testing.T) {
+	table := NewTable(Config{})
+	r := streamOf(1, start)
+	table.StoreCopies(start, "old", []Record{r})
+	table.StoreCopies(start, "new", []Record{r})
+	r.Removed = true
+	table.StoreCopies(start, "old", []Record{r})
+	if got := table.TakeOver(start, "new"); len(got) != 1 {
+		t.Fatalf("%d copies", len(got))
+	}
+}
+
+// hlc is a hybrid logical clock on a physical clock that is wrong by skew.
+type hlc struct {
+	now  *time.Time
+	skew time.Duration
+	last uint64
+}
+
+func (c *hlc) read() uint64 {
+	c.last = max(c.last, uint64(c.now.Add(c.skew).UnixMilli()))
+	return c.last
+}
+
+// Guards against an Observe number that steps back, by the comparison that callers
+// make (RFC 7641, 3.4), when the holder changes by a crash, a planned hand-over or a
+// refresh at the runner-up while the physical clocks differ by up to an hour.
+// Messages carry the sender's clock, as envelopes do.
+func TestSequenceOverHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		type instance struct {
+			clock *hlc
+			table *Table
+		}
+		newInstance := func(t *rapid.T) *instance {
+			c := &hlc{now: &now, skew: time.Duration(rapid.IntRange(-1800, 1800).Draw(t, "skew")) * time.Second}
+			return &instance{c, NewTable(Config{Clock: c.read})}
+		}
+		holder, runnerUp := newInstance(t), newInstance(t)
+		message := func(from, to *instance) { to.clock.last = max(to.clock.read(), from.clock.read()) }
+		sendCopies := func() {
+			rs := holder.table.Copies(now, always("r"), 1<<20)["r"]
+			message(holder, runnerUp)
+			runnerUp.table.StoreCopies(now, "h", rs)
+		}
+		id, err := holder.table.Register(now, streamOf(1, now))
+		if err != nil {
+			t.Fatal(err)
+		}
+		last, at := uint32(0), time.Time{}
+		notify := func(t *rapid.T) {
+			n, ok := holder.table.Notify(id, holder.clock.read())
+			const half = 1 << 23
+			ahead := (n - last) & sequenceMask
+			if !ok || !at.IsZero() && now.Sub(at) <= 128*time.Second && (ahead == 0 || ahead >= half) {
+				t.Fatalf("number %d %s after %d", n, now.Sub(at), last)
+			}
+			last, at = n, now
+		}
+		replace := func(t *rapid.T, r Record) {
+			if id, err = runnerUp.table.Register(now, r); err != nil {
+				t.Fatal(err)
+			}
+			holder, runnerUp = runnerUp, newInstance(t)
+			notify(t)
+		}
+		pass := func(ms int) { now = now.Add(time.Duration(ms) * time.Millisecond) }
+		copied := func(t *rapid.T) { // an established stream with a copy
+			pass(2100)
+			sendCopies()
+			for range rapid.IntRange(0, 20).Draw(t, "notifications after the copy") {
+				pass(rapid.IntRange(0, 1500).Draw(t, "ms"))
+				notify(t)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"notify": notify,
+			"burst": func(t *rapid.T) {
+				for range 100 {
+					notify(t)
+				}
+			},
+			"time":    func(t *rapid.T) { pass(rapid.IntRange(0, 5000).Draw(t, "ms")) },
+			"silence": func(t *rapid.T) { pass(rapid.IntRange(0, 10*3600*1000).Draw(t, "ms")) },
+			"crash": func(t *rapid.T) {
+				copied(t)
+				pass(1200) // suspicion
+				for _, r := range runnerUp.table.TakeOver(now, "h") {
+					replace(t, r)
+					return
+				}
+				t.Fatal("no copy")
+			},
+			"refresh at the runner-up": func(t *rapid.T) {
+				copied(t)
+				replace(t, streamOf(1, time.Time{}))
+			},
+			"hand over": func(t *rapid.T) {
+				rs := holder.table.HandOver(now, 1, always("r"))["r"]
+				message(holder, runnerUp)
+				replace(t, rs[0])
+			},
+		})
+	})
+}
+
+// Guards against moves of streams that could stay, against moves beyond the limit and
+// against planning a move twice. The share moved is compared with the ideal share of
+// the server that joins.
+func TestPlanMovesOnlyWhatMust(t *testing.T) {
+	const streams, servers, limit = 20000, 15, 25
+	members := make([]placement.Member, 0, servers+1)
+	for n := range servers + 1 {
+		members = append(members, placement.NewMember(fmt.Sprint("host-", n), uint32(100+50*(n%8))))
+	}
+	target := func(members []placement.Member) func(Record) string {
+		return func(r Record) string { return members[placement.Pick(r.Hash(), members)].ID }
+	}
+	before, after := target(members[:servers]), target(members)
+	table, now := NewTable(Config{}), start
+	for n := range streams {
+		r := streamOf(n, now)
+		r.Server = before(r)
+		if _, err := table.Register(now, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	moved := map[uint64]bool{}
+	pass := func(target func(Record) string, finish bool) (count int) {
+		table.Replan()
+		for range streams/scanLimit + streams/limit {
+			moves := table.PlanMoves(now, target, limit)
+			if len(moves) > limit {
+				t.Fatalf("%d moves at once", len(moves))
+			}
+			for _, m := range moves {
+				if moved[m.ID] || m.From == m.To || m.To != members[servers].ID {
+					t.Fatalf("needless move %+v", m)
+				}
+				count++
+				if finish {
+					moved[m.ID] = true
+					table.SetServer(m.ID, m.To, false)
+				}
+			}
+		}
+		return count
+	}
+	if n := pass(before, true); n != 0 {
+		t.Fatalf("%d moves without a change", n)
+	}
+	planned := pass(after, false)
+	if again := pass(after, false); again != 0 {
+		t.Fatalf("%d moves in progress were planned again", again)
+	}
+	now = now.Add(DefaultMoveTimeout)
+	if count := pass(after, true); count != planned {
+		t.Fatalf("%d moves after the timeout, %d before", count, planned)
+	}
+	total := uint32(0)
+	for _, m := range members {
+		total += m.Weight
+	}
+	share, ideal := float64(planned)/streams, float64(members[servers].Weight)/float64(total)
+	t.Logf("share moved %.4f, ideal %.4f", share, ideal)
+	if share > ideal*1.1 || share < ideal*0.9 {
+		t.Errorf("share moved %.4f, ideal %.4f", share, ideal)
+	}
+}
+
+// limiterFunc is a NewFlowLimiter.
+type limiterFunc func(netip.Addr) bool
+
+func (f limiterFunc) Allow(_ time.Time, caller netip.Addr) bool { return f(caller) }
+
+// Guards against a limiter that is not asked about new flows or is asked about known
+// ones.
+func TestNewFlowLimit(t *testing.T) {
+	allow := true
+	table := NewTable(Config{Limiter: limiterFunc(func(netip.Addr) bool { return allow })})
+	if isNew, err := table.Touch(start, keyOf(1)); !isNew || err != nil {
+		t.Fatalf("first packet: %v, %v", isNew, err)
+	}
+	allow = false
+	if isNew, err := table.Touch(start, keyOf(1)); isNew || err != nil {
+		t.Errorf("known flow: %v, %v", isNew, err)
+	}
+	if isNew, err := table.Touch(start, keyOf(2)); !isNew || result.CodeOf(err) != result.PrefixLimited {
+		t.Errorf("new flow: %v, %v", isNew, err)
+	}
+}
+
+// Guards against data races and deadlocks between all operations.
+func TestConcurrentUse(t *testing.T) {
+	table := NewTable(Config{Shards: 4, MaxFlows: 500, MaxStreams: 300})
+	var wg sync.WaitGroup
+	for worker := range 6 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(worker)))
+			for i := range 3000 {
+				now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+				n := rng.IntN(600)
+				table.Touch(now, keyOf(n))
+				id, err := table.Register(now, streamOf(n, time.Time{}))
+				if err == nil {
+					table.SetServer(id, strconv.Itoa(rng.IntN(3)), rng.IntN(2) == 0)
+					table.Notify(id, uint64(i))
+				}
+				switch rng.IntN(30) {
+				case 0:
+					table.Copies(now, always("b"), 10000)
+				case 1:
+					table.StoreCopies(now, "a", []Record{streamOf(n+1, now)})
+				case 2:
+					table.TakeOver(now, "a")
+				case 3:
+					table.HandOver(now, 5, always("b"))
+				case 4:
+					table.PlanMoves(now, func(Record) string { return "1" }, 5)
+				case 5:
+					table.Replan()
+				case 6:
+					table.RunnerUpsChanged()
+				case 7:
+					table.Expire(now)
+				default:
+					table.Remove(id)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	_, streams, _ := table.Len()
+	ids := map[uint64]bool{}
+	for n := range 600 {
+		if r, ok := table.Stream(keyOf(n), streamOf(n, start).Token); ok {
+			ids[r.ID] = true
+		}
+	}
+	if len(slices.Collect(maps.Keys(ids))) != streams {
+		t.Errorf("%d streams are found, %d are counted", len(ids), streams)
+	}
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -2,253 +2,402 @@
 
 import (
 	"bytes"
+	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
-// SequenceModulus bounds Observe numbers (RFC 7641, 3.4).
-const SequenceModulus = 1 << 24
+const (
+	// evictionSample is the number of flows among which the one to evict is chosen.
+	evictionSample = 32
+	// minIdle protects flows in use from being evicted in favour of new ones.
+	minIdle = 10 * time.Second
+)
 
-type streamKey struct {
-	key   Key
-	token string
-}
+// Table holds the flows, streams and copies of one instance.
+//
+// Lock order: handOverMu or outbox.copies, then the mutex of at most one shard, then
+// at most one of outbox.mu, moveMu and the mutex of a pool.
+type Table struct {
+	cfg    Config
+	seed   maphash.Seed
+	base   atomic.Pointer[time.Time] // origin of ticks, the first time passed in
+	shards []shard
 
-type copyKey struct {
-	streamKey
-}
+	names    pool[string]
+	requests pool[[]byte]
 
-type stream struct {
-	rec      Record
-	sequence uint64
-	copiedTo string
-	dirty    bool
-}
+	flowCount, streamCount, copyCount atomic.Int64
 
-type storedCopy struct {
-	rec  Record
-	from string
-}
+	outbox outbox
 
-// Table holds the flows, streams and copies of one instance.
-type Table struct {
-	cfg Config
+	moveMu sync.Mutex
+	moves  moveState
 
-	mu      sync.Mutex
-	flows   map[Key]time.Time
-	streams map[uint64]*stream
-	byKey   map[streamKey]*stream
-	copies  map[copyKey]*storedCopy
-	removed map[string][]Record
-	nextID  uint64
+	handOverMu sync.Mutex
+	handOver   cursor
 }
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
-	return &Table{
-		cfg:     cfg.withDefaults(),
-		flows:   make(map[Key]time.Time),
-		streams: make(map[uint64]*stream),
-		byKey:   make(map[streamKey]*stream),
-		copies:  make(map[copyKey]*storedCopy),
-		removed: make(map[string][]Record),
+	cfg = cfg.withDefaults()
+	t := &Table{cfg: cfg, seed: maphash.MakeSeed(), shards: make([]shard, cfg.Shards)}
+	for i := range t.shards {
+		t.shards[i].index.seed = t.seed
+	}
+	return t
+}
+
+// Len returns the numbers of flows, streams and copies.
+func (t *Table) Len() (flows, streams, copies int) {
+	return int(t.flowCount.Load()), int(t.streamCount.Load()), int(t.copyCount.Load())
+}
+
+func (t *Table) ticks(now time.Time) int32 {
+	base := t.base.Load()
+	if base == nil {
+		base = t.setBase(now)
 	}
+	return int32(now.Sub(*base) / tick)
 }
 
+// setBase is separate from ticks so that only its first call allocates.
+func (t *Table) setBase(now time.Time) *time.Time {
+	t.base.CompareAndSwap(nil, &now)
+	return t.base.Load()
+}
+
+func (t *Table) time(ticks int32) time.Time { return t.base.Load().Add(time.Duration(ticks) * tick) }
+
+func (t *Table) shardOf(hash uint64) *shard { return &t.shards[hash&uint64(len(t.shards)-1)] }
+
 // Touch notes a packet of the flow. For a new flow the error is PrefixLimited or
 // TableFull.
 func (t *Table) Touch(now time.Time, k Key) (isNew bool, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, ok := t.flows[k]; !ok {
-		if t.cfg.Limiter != nil && !t.cfg.Limiter.Allow(now, k.Caller.Addr()) {
-			return true, result.Errorf(result.PrefixLimited, "too many new flows from the prefix of %s", k.Caller.Addr())
+	key, seen := pack(k), t.ticks(now)
+	hash := maphash.Bytes(t.seed, key[:])
+	s := t.shardOf(hash)
+	s.mu.Lock()
+	slot := s.index.find(hash, &s.flows, &key)
+	if slot != 0 {
+		s.flows.at(slot).seen = seen
+		s.mu.Unlock()
+		return false, nil
+	}
+	s.mu.Unlock()
+	if t.cfg.Limiter != nil && !t.cfg.Limiter.Allow(now, k.Caller.Addr()) {
+		return true, result.Errorf(result.PrefixLimited, "too many new flows from the prefix of %s", k.Caller.Addr())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err = t.admit(s, hash, key, seen)
+	return true, err
+}
+
+// admit returns the slot of the flow, which it adds if necessary and possible. The
+// shard is locked.
+func (t *Table) admit(s *shard, hash uint64, key packedKey, seen int32) (uint32, error) {
+	if slot := s.index.find(hash, &s.flows, &key); slot != 0 {
+		s.flows.at(slot).seen = seen
+		return slot, nil
+	}
+	// Each admission also looks at two flows, so idle ones go away without Expire.
+	if s.evict(2, seen-ticksOf(t.cfg.IdleTimeout)) {
+		t.flowCount.Add(-1)
+	}
+	if t.flowCount.Add(1) > int64(t.cfg.MaxFlows) || len(s.flows.free) == 0 && s.flows.used == maxSlot {
+		if !s.evict(evictionSample, seen-ticksOf(minIdle)) {
+			t.flowCount.Add(-1)
+			return 0, result.Errorf(result.TableFull, "%d flows are held and none is idle", t.cfg.MaxFlows)
 		}
-		if len(t.flows) >= t.cfg.MaxFlows {
-			return true, result.Errorf(result.TableFull, "%d flows are held", len(t.flows))
+		t.flowCount.Add(-1)
+	}
+	return s.addFlow(hash, key, seen), nil
+}
+
+func ticksOf(d time.Duration) int32 { return int32(d / tick) }
+
+// Expire forgets the flows without a stream that were idle for IdleTimeout.
+func (t *Table) Expire(now time.Time) {
+	since := t.ticks(now) - ticksOf(t.cfg.IdleTimeout)
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for slot := uint32(1); slot <= s.flows.used; slot++ {
+			if f := s.flows.at(slot); f.inUse() && f.streams == 0 && f.seen <= since {
+				s.forget(slot)
+				t.flowCount.Add(-1)
+			}
 		}
-		isNew = true
+		s.mu.Unlock()
 	}
-	t.flows[k] = now
-	return isNew, nil
 }
 
-// Register adds a stream, or renews the one with the same flow and token.
-func (t *Table) Register(now time.Time, r Record) (uint64, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sk := streamKey{r.Key, string(r.Token)}
-	if s, ok := t.byKey[sk]; ok {
-		if !bytes.Equal(s.rec.Request, r.Request) {
-			s.rec.Request, s.dirty = r.Request, true
+// Register adds a stream, or renews the one with the same flow and token, and
+// returns its ID. A stored copy of the stream is replaced and its age and Observe
+// number are taken over. The error is TableFull or, for a token that is too long,
+// MalformedDatagram.
+func (t *Table) Register(now time.Time, r Record) (id uint64, err error) {
+	if len(r.Token) > MaxToken {
+		return 0, result.Errorf(result.MalformedDatagram, "token of %d bytes", len(r.Token))
+	}
+	key, ticks, token := pack(r.Key), t.ticks(now), packToken(r.Token)
+	hash := maphash.Bytes(t.seed, key[:])
+	s := t.shardOf(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slot := s.find(s.index.find(hash, &s.flows, &key), token)
+	if slot == 0 {
+		if slot, err = t.addStream(s, hash, key, token, ticks); err != nil {
+			return 0, err
 		}
-		return s.rec.ID, nil
+		if !r.Created.IsZero() {
+			s.streams.at(slot).created = t.ticks(r.Created)
+		}
+	}
+	s.flows.at(s.streams.at(slot).flow).seen = ticks
+	e := s.streams.at(slot)
+	if c, ok := s.copies[copyKey{key, token}]; ok {
+		t.inherit(e, c.sequenceAt(ticks))
+		e.created = min(e.created, c.created)
+		t.copyCount.Add(-1)
+		t.dropCopy(s, copyKey{key, token}, c)
 	}
-	if len(t.streams) >= t.cfg.MaxStreams {
-		return 0, result.Errorf(result.TableFull, "%d streams are held", len(t.streams))
+	t.inherit(e, r.Sequence)
+	if !bytes.Equal(t.requests.get(e.request), r.Request) {
+		t.requests.release(e.request)
+		e.request = t.requests.acquire(r.Request)
+		e.flags |= flagDirty
 	}
-	t.nextID++
-	r.ID = t.nextID
-	if r.Created.IsZero() {
-		r.Created = now
+	if r.Server != "" {
+		t.setServer(e, r.Server, r.Exception)
 	}
-	s := &stream{rec: r, sequence: uint64(r.Sequence), dirty: true}
-	t.streams[r.ID], t.byKey[sk] = s, s
-	t.flows[r.Key] = now
-	delete(t.copies, copyKey{sk})
-	return r.ID, nil
+	id = t.idOf(hash, slot, e)
+	t.outbox.changed(id, e, ticks, e.created+ticksOf(t.cfg.CopyAge))
+	return id, nil
 }
 
-// Stream returns the stream of a flow and token.
-func (t *Table) Stream(k Key, token []byte) (Record, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.byKey[streamKey{k, string(token)}]; ok {
-		return s.rec, true
+func (t *Table) addStream(s *shard, hash uint64, key packedKey, token packedToken, ticks int32) (uint32, error) {
+	if t.streamCount.Add(1) > int64(t.cfg.MaxStreams) || len(s.streams.free) == 0 && s.streams.used == maxSlot {
+		t.streamCount.Add(-1)
+		return 0, result.Errorf(result.TableFull, "%d streams are held", t.cfg.MaxStreams)
+	}
+	flow, err := t.admit(s, hash, key, ticks)
+	if err != nil {
+		t.streamCount.Add(-1)
+		return 0, err
 	}
-	return Record{}, false
+	slot := s.streams.alloc()
+	e, f := s.streams.at(slot), s.flows.at(flow)
+	*e = streamEntry{generation: e.generation, flow: flow, token: token.bytes, flags: token.len | flagDirty, created: ticks, next: f.streams}
+	f.streams = slot
+	return slot, nil
 }
 
-// ByID returns the stream with the ID that Register returned.
-func (t *Table) ByID(id uint64) (Record, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.streams[id]; ok {
-		return s.rec, true
+// inherit adopts an Observe number of an earlier holder unless the stream's own is
+// later.
+func (t *Table) inherit(e *streamEntry, sequence uint32) {
+	own := e.observe()
+	if later(own, sequence) == own {
+		return
+	}
+	e.setSequence(uint64(sequence))
+	e.flags |= flagInherited
+	if t.cfg.Clock != nil {
+		e.resolve(t.cfg.Clock())
 	}
-	return Record{}, false
 }
 
-// Notify returns the Observe number of the stream's next notification.
-func (t *Table) Notify(id uint64, hlcMillis uint64) (sequence uint32, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.streams[id]
-	if !ok {
-		return 0, false
+// resolve extends an inherited number to 64 bits.
+func (e *streamEntry) resolve(clock uint64) {
+	if e.flags&flagInherited != 0 {
+		e.flags &^= flagInherited
+		e.setSequence(unwrap(e.observe(), clock))
 	}
-	s.sequence = max(s.sequence+1, hlcMillis)
-	s.rec.Sequence = uint32(s.sequence % SequenceModulus)
-	return s.rec.Sequence, true
 }
 
-// Remove ends a stream.
-func (t *Table) Remove(id uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.remove(id)
+// outgoing returns the Observe number to communicate to another instance. It is not
+// behind the clock, which shows the receiver how far later numbers can be.
+func (t *Table) outgoing(e *streamEntry) uint32 {
+	if t.cfg.Clock == nil {
+		return e.observe()
+	}
+	return uint32(max(e.sequence(), t.cfg.Clock()) & sequenceMask)
 }
 
-func (t *Table) remove(id uint64) bool {
-	s, ok := t.streams[id]
-	if !ok {
-		return false
+func (e *streamEntry) observe() uint32 { return e.last[0] & sequenceMask }
+
+// setServer notes the server. The copy is out of date if the stream is or was an
+// exception, because the runner-up computes the other servers.
+func (t *Table) setServer(e *streamEntry, server string, exception bool) {
+	was := e.flags&flagException != 0
+	if was != exception || exception && t.names.get(e.server) != server {
+		e.flags |= flagDirty
+		e.flags &^= flagQueued // its place in the outbox changes
 	}
-	delete(t.streams, id)
-	delete(t.byKey, streamKey{s.rec.Key, string(s.rec.Token)})
-	if s.copiedTo != "" {
-		r := s.rec
-		r.Removed = true
-		t.removed[s.copiedTo] = append(t.removed[s.copiedTo], r)
+	e.flags &^= flagException
+	if exception {
+		e.flags |= flagException
 	}
-	return true
+	t.setName(&e.server, server)
 }
 
-// SetServer notes the backend server with which the stream is registered.
-func (t *Table) SetServer(id uint64, server string, exception bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s, ok := t.streams[id]; ok {
-		s.rec.Server, s.rec.Exception, s.dirty = server, exception, true
-	}
-}
-
-// Copies returns records to send to each runner-up, within budget bytes per second.
-func (t *Table) Copies(now time.Time, runnerUp func(Key) string, budget int) map[string][]Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := t.removed
-	t.removed = make(map[string][]Record)
-	for _, s := range t.streams {
-		to := runnerUp(s.rec.Key)
-		if to == "" || (s.copiedTo == to && !s.dirty) || now.Sub(s.rec.Created) < t.cfg.CopyAge {
-			continue
+// An ID holds generation, shard and slot.
+func (t *Table) idOf(hash uint64, slot uint32, e *streamEntry) uint64 {
+	return t.makeID(int(hash&uint64(len(t.shards)-1)), slot, e)
+}
+
+func (t *Table) makeID(shard int, slot uint32, e *streamEntry) uint64 {
+	return uint64(e.version())<<32 | uint64(shard)<<slotBits | uint64(slot)
+}
+
+// lock locks the shard of a stream and returns its entry, or nil without a lock.
+func (t *Table) lock(id uint64) (*shard, *streamEntry) {
+	number, slot := int(id>>slotBits)&(maxShards-1), uint32(id&maxSlot)
+	if number >= len(t.shards) || slot == 0 {
+		return nil, nil
+	}
+	s := &t.shards[number]
+	s.mu.Lock()
+	if slot <= s.streams.used {
+		if e := s.streams.at(slot); e.flow != 0 && uint64(e.version()) == id>>32 {
+			return s, e
 		}
-		s.copiedTo, s.dirty = to, false
-		out[to] = append(out[to], s.rec)
 	}
-	return out
+	s.mu.Unlock()
+	return nil, nil
 }
 
-// StoreCopies stores the copies that the holder sent.
-func (t *Table) StoreCopies(now time.Time, from string, rs []Record) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range rs {
-		ck := copyKey{streamKey{r.Key, string(r.Token)}}
-		if r.Removed {
-			delete(t.copies, ck)
-			continue
-		}
-		t.copies[ck] = &storedCopy{rec: r, from: from}
+// record builds the Record of a stream. A nil token is copied from the entry.
+func (t *Table) record(s *shard, id uint64, e *streamEntry, token []byte) Record {
+	if token == nil {
+		token = e.packedToken().unpack()
+	}
+	return Record{
+		Key:       s.flows.at(e.flow).key.unpack(),
+		ID:        id,
+		Token:     token,
+		Request:   t.requests.get(e.request),
+		Server:    t.names.get(e.server),
+		Exception: e.flags&flagException != 0,
+		Sequence:  e.observe(),
+		Created:   t.time(e.created),
 	}
 }
 
-// TakeOver removes and returns the copies whose holder died.
-func (t *Table) TakeOver(now time.Time, dead string) []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Record
-	for ck, c := range t.copies {
-		if c.from == dead {
-			out = append(out, c.rec)
-			delete(t.copies, ck)
-		}
+// Stream returns the stream of a flow and token. The Token of the record is the one
+// that was passed in.
+func (t *Table) Stream(k Key, token []byte) (Record, bool) {
+	if len(token) > MaxToken {
+		return Record{}, false
+	}
+	key := pack(k)
+	hash := maphash.Bytes(t.seed, key[:])
+	s := t.shardOf(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slot := s.find(s.index.find(hash, &s.flows, &key), packToken(token))
+	if slot == 0 {
+		return Record{}, false
+	}
+	e := s.streams.at(slot)
+	if token == nil {
+		token = []byte{}
 	}
-	return out
+	return t.record(s, t.idOf(hash, slot, e), e, token), true
 }
 
-// HandOver removes and returns up to limit streams that have a new holder. An empty
-// holder means that the stream stays.
-func (t *Table) HandOver(now time.Time, limit int, newHolder func(Key) string) map[string][]Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make(map[string][]Record)
-	for id, s := range t.streams {
-		if limit == 0 {
-			break
-		}
-		if to := newHolder(s.rec.Key); to != "" {
-			s.copiedTo = ""
-			t.remove(id)
-			out[to] = append(out[to], s.rec)
-			limit--
-		}
+// ByID returns the stream with the ID that Register returned.
+func (t *Table) ByID(id uint64) (Record, bool) {
+	s, e := t.lock(id)
+	if e == nil {
+		return Record{}, false
 	}
-	return out
+	defer s.mu.Unlock()
+	return t.record(s, id, e, nil), true
 }
 
-// PlanMoves returns up to limit streams whose backend server is not their target.
-func (t *Table) PlanMoves(now time.Time, target func(Record) string, limit int) []Move {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var moves []Move
-	for id, s := range t.streams {
-		if len(moves) == limit {
-			break
-		}
-		if to := target(s.rec); to != "" && to != s.rec.Server {
-			moves = append(moves, Move{ID: id, From: s.rec.Server, To: to})
-		}
+// Notify returns the Observe number of the stream's next notification: the hybrid
+// logical clock in ms, or one more than the last number if that is later.
+func (t *Table) Notify(id uint64, hlcMillis uint64) (sequence uint32, ok bool) {
+	s, e := t.lock(id)
+	if e == nil {
+		return 0, false
 	}
-	return moves
+	defer s.mu.Unlock()
+	e.resolve(hlcMillis)
+	next := max(e.sequence()+1, hlcMillis)
+	if next&sequenceMask == 0 {
+		next++ // 0 stands for "none" in records
+	}
+	e.setSequence(next)
+	return e.observe(), true
 }
 
-// Len returns the numbers of flows, streams and copies.
-func (t *Table) Len() (flows, streams, copies int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.flows), len(t.streams), len(t.copies)
+// SetServer notes the backend server with which the stream is registered. It ends a
+// planned move of the stream.
+func (t *Table) SetServer(id uint64, server string, exception bool) {
+	s, e := t.lock(id)
+	if e == nil {
+		return
+	}
+	defer s.mu.Unlock()
+	t.setServer(e, server, exception)
+	t.outbox.changed(id, e, 0, 0) // its age is checked when it is taken out
+	t.endMove(id)
+}
+
+// Remove ends a stream. Its copy is removed too.
+func (t *Table) Remove(id uint64) bool {
+	s, e := t.lock(id)
+	if e == nil {
+		return false
+	}
+	defer s.mu.Unlock()
+	t.remove(s, id, e, "")
+	return true
+}
+
+// remove ends a stream whose shard is locked. The instance that becomes its holder
+// needs no notice.
+func (t *Table) remove(s *shard, id uint64, e *streamEntry, newHolder string) {
+	if e.copiedTo != 0 && t.names.get(e.copiedTo) != newHolder {
+		t.outbox.removed(t, s, e)
+	}
+	t.unlink(s, uint32(id&maxSlot))
+	t.streamCount.Add(-1)
+	t.endMove(id)
+}
+
+// unlink removes a stream from its flow and releases its slot.
+func (t *Table) unlink(s *shard, slot uint32) {
+	e := s.streams.at(slot)
+	at := &s.flows.at(e.flow).streams
+	for *at != slot {
+		at = &s.streams.at(*at).next
+	}
+	*at = e.next
+	t.requests.release(e.request)
+	t.names.release(e.server)
+	t.names.release(e.copiedTo)
+	next := e.version() + 1
+	*e = streamEntry{generation: [3]byte{byte(next), byte(next >> 8), byte(next >> 16)}}
+	s.streams.release(slot)
+}
+
+func (t *Table) dropCopy(s *shard, k copyKey, c copyEntry) {
+	t.requests.release(c.request)
+	t.names.release(c.server)
+	t.names.release(c.from)
+	delete(s.copies, k)
+}
+
+// setName replaces a pooled name.
+func (t *Table) setName(index *uint32, name string) {
+	old := *index
+	*index = t.names.acquire(name)
+	t.names.release(old)
 }
