--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -60,6 +60,7 @@
 		table, now := NewTable(cfg), start
 		seen := map[Key]time.Time{}
 		streams := map[string]modelStream{} // by flow and token
+		var ended []uint64
 		held := func(k Key) bool {
 			for _, s := range streams {
 				if s.rec.Key == k {
@@ -127,18 +128,19 @@
 				if id := streams[k].id; !table.Remove(id) || table.Remove(id) {
 					t.Fatalf("stream %x was not removed exactly once", id)
 				}
+				ended = append(ended, streams[k].id)
 				delete(streams, k)
 			},
 			"hand over": func(t *rapid.T) {
 				service := rapid.Uint32Range(1, 3).Draw(t, "service")
 				for {
-					batch := table.HandOver(now, 2, func(k Key) string {
+					batch := table.HandOver(now, 1, func(k Key) string {
 						if k.ServiceID == service {
 							return "other"
 						}
 						return ""
 					})["other"]
-					if len(batch) > 2 {
+					if len(batch) > 1 {
 						t.Fatalf("batch of %d", len(batch))
 					}
 					for _, r := range batch {
@@ -172,6 +174,11 @@
 				if flows > cfg.MaxFlows || count > cfg.MaxStreams || count != len(streams) {
 					t.Fatalf("%d flows, %d streams, model %d", flows, count, len(streams))
 				}
+				for _, id := range ended {
+					if r, ok := table.ByID(id); ok {
+						t.Fatalf("the ID %x of an ended stream finds %+v", id, r)
+					}
+				}
 				for _, s := range streams {
 					for _, get := range []func() (Record, bool){
 						func() (Record, bool) { return table.ByID(s.id) },
@@ -203,6 +210,11 @@
 		live := map[int]uint64{}
 		exchange := func(budget int) {
 			for to, rs := range holder.Copies(now, runnerUp, budget) {
+				for _, r := range rs {
+					if !r.Removed && now.Sub(r.Created) < DefaultCopyAge-2*tick {
+						t.Fatalf("copy of a stream of age %s", now.Sub(r.Created))
+					}
+				}
 				peers[to].StoreCopies(now, "a", rs)
 			}
 		}
@@ -355,8 +367,13 @@
 		}
 		holder, runnerUp := newInstance(t), newInstance(t)
 		message := func(from, to *instance) { to.clock.last = max(to.clock.read(), from.clock.read()) }
-		sendCopies := func() {
+		var notify func(*rapid.T)
+		sendCopies := func(t *rapid.T) {
 			rs := holder.table.Copies(now, always("r"), 1<<20)["r"]
+			for range rapid.IntRange(0, 3).Draw(t, "notifications before the copy arrives") {
+				now = now.Add(time.Second)
+				notify(t)
+			}
 			message(holder, runnerUp)
 			runnerUp.table.StoreCopies(now, "h", rs)
 		}
@@ -365,7 +382,7 @@
 			t.Fatal(err)
 		}
 		last, at := uint32(0), time.Time{}
-		notify := func(t *rapid.T) {
+		notify = func(t *rapid.T) {
 			n, ok := holder.table.Notify(id, holder.clock.read())
 			const half = 1 << 23
 			ahead := (n - last) & sequenceMask
@@ -384,7 +401,7 @@
 		pass := func(ms int) { now = now.Add(time.Duration(ms) * time.Millisecond) }
 		copied := func(t *rapid.T) { // an established stream with a copy
 			pass(2100)
-			sendCopies()
+			sendCopies(t)
 			for range rapid.IntRange(0, 20).Draw(t, "notifications after the copy") {
 				pass(rapid.IntRange(0, 1500).Draw(t, "ms"))
 				notify(t)
@@ -421,6 +438,63 @@
 	})
 }
 
+// Guards against comparing Observe numbers as plain integers, which fails where they
+// wrap after 4.7 h.
+func TestSequenceArithmetic(t *testing.T) {
+	const wrap = 1 << sequenceBits
+	for _, c := range []struct {
+		sequence    uint32
+		clock, want uint64
+	}{
+		{7, 7, 7},
+		{10, 7, 10},
+		{5, 3*wrap + 7, 3*wrap + 5},
+		{9, 3*wrap + 7, 3*wrap + 9},
+		{wrap - 3, 3*wrap + 7, 3*wrap - 3},
+		{4, 3*wrap - 2, 3*wrap + 4},
+		{wrap - 3, 7, wrap - 3},
+	} {
+		if got := unwrap(c.sequence, c.clock); got != c.want {
+			t.Errorf("unwrap(%d, %d) = %d, want %d", c.sequence, c.clock, got, c.want)
+		}
+	}
+	for _, c := range [][3]uint32{{1, 2, 2}, {2, 1, 2}, {0, 9, 9}, {9, 0, 9}, {wrap - 1, 3, 3}, {3, wrap - 1, 3}} {
+		if got := later(c[0], c[1]); got != c[2] {
+			t.Errorf("later(%d, %d) = %d, want %d", c[0], c[1], got, c[2])
+		}
+	}
+}
+
+// Guards against numbers that run ahead of the clock because a stream was silent for
+// longer than half the range of the numbers and its last number seems to be later.
+func TestSilentStreamFollowsClock(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		now := start
+		clock := &hlc{now: &now}
+		holder, next := NewTable(Config{Clock: clock.read}), NewTable(Config{Clock: clock.read})
+		id, err := holder.Register(now, streamOf(1, now))
+		if err != nil {
+			t.Fatal(err)
+		}
+		holder.Notify(id, clock.read())
+		now = now.Add(3 * time.Hour)
+		rs := holder.HandOver(now, 1, always("next"))["next"]
+		if crash {
+			id, _ = holder.Register(now, streamOf(1, start))
+			holder.Notify(id, uint64(start.UnixMilli()))
+			next.StoreCopies(now, "h", holder.Copies(now, always("next"), 1000)["next"])
+			rs = next.TakeOver(now, "h")
+		}
+		if id, err = next.Register(now, rs[0]); err != nil {
+			t.Fatal(err)
+		}
+		n, _ := next.Notify(id, clock.read())
+		if ahead := (uint64(n) - clock.read()) & sequenceMask; ahead > takeOverMargin+1 {
+			t.Errorf("crash %v: %d ms ahead of the clock", crash, ahead)
+		}
+	}
+}
+
 // Guards against moves of streams that could stay, against moves beyond the limit and
 // against planning a move twice. The share moved is compared with the ideal share of
 // the server that joins.
