Complete caller and test it against a lossy UDP fake

Added: restart of a block transfer when the ETag changes, states in blocks, spread of retries and refreshes, retries of the first registration, checks of path and query lengths, a second write after the ICMP error of an earlier datagram.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,27 +1,35 @@
 package caller
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 	"github.com/plgd-dev/go-coap/v3/udp/coder"
+
+	"github.com/monsoonthread/monsoonthread/permit"
+	"github.com/monsoonthread/monsoonthread/result"
 )
 
-// fakeService is a UDP endpoint whose answers are made by a function.
+// fakeService is a UDP endpoint whose answers are made by a function, which is called
+// with the mutex locked.
 type fakeService struct {
+	sync.Mutex
 	conn *net.UDPConn
 	wg   sync.WaitGroup
 }
 
-// newFakeService calls answer with each datagram, one at a time; answer sends what
-// it likes with reply.
+// newFakeService calls answer with each datagram; answer sends what it likes with reply.
 func newFakeService(network string, answer func(m message.Message, reply func(message.Message))) *fakeService {
 	ip := net.IPv4(127, 0, 0, 1)
 	if network == "udp6" {
@@ -43,6 +51,7 @@
 			if err != nil {
 				continue
 			}
+			f.Lock()
 			answer(m, func(m message.Message) {
 				b, err := encode(m)
 				if err != nil {
@@ -50,6 +59,7 @@
 				}
 				conn.WriteToUDPAddrPort(b, from)
 			})
+			f.Unlock()
 		}
 	})
 	return f
@@ -78,7 +88,7 @@
 	return m
 }
 
-var fast = Config{AckTimeout: 30 * time.Millisecond, MaxRetransmit: 3, AckedRetransmit: 60 * time.Millisecond, ResponseTimeout: 2 * time.Second}
+var fast = Config{AckTimeout: 30 * time.Millisecond, MaxRetransmit: 3, AckedRetransmit: 60 * time.Millisecond, ResponseTimeout: 2 * time.Second, RegisterPause: 20 * time.Millisecond}
 
 func Example() {
 	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
@@ -102,23 +112,393 @@
 	// Output: 2.05 state of /suite/7
 }
 
-// Guards against a request that is never repeated with its permit.
+// dial connects a client to a service; both are closed at the end of the test.
+func dial(t testing.TB, cfg Config, service *fakeService) *Client {
+	t.Helper()
+	client, err := Dial(cfg, service.addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		client.Close()
+		service.close()
+	})
+	return client
+}
+
+func option(id message.OptionID, value ...byte) message.Option {
+	return message.Option{ID: id, Value: value}
+}
+
+// Guards against a request that is never repeated with its permit, over IPv6, and
+// against a second demand for a permit that is not reported.
 func TestPermitIsPresented(t *testing.T) {
-	service := newFakeService("udp6", func(m message.Message, reply func(message.Message)) {
-		if echo, err := m.Options.GetBytes(message.Echo); err == nil {
-			reply(piggyback(m, codes.Changed, string(echo)+string(m.Payload)))
+	client := dial(t, fast, newFakeService("udp6", func(m message.Message, reply func(message.Message)) {
+		echo, err := m.Options.GetBytes(message.Echo)
+		if path, _ := m.Options.Path(); err != nil || path == "/never" {
+			reply(piggyback(m, codes.Unauthorized, "", option(message.Echo, []byte("permit:")...)))
 			return
 		}
-		reply(piggyback(m, codes.Unauthorized, "", message.Option{ID: message.Echo, Value: []byte("permit:")}))
-	})
-	defer service.close()
-	client, err := Dial(fast, service.addr())
+		reply(piggyback(m, codes.Changed, string(echo)+string(m.Payload)))
+	}))
+	r, err := client.Do(t.Context(), Request{Method: "POST", Path: "lines", Payload: []byte("tulip")})
+	if err != nil || string(r.Payload) != "permit:tulip" || r.Code != Changed {
+		t.Errorf("got %+v, %v", r, err)
+	}
+	if _, err := client.Do(t.Context(), Request{Method: "POST", Path: "never"}); result.CodeOf(err) != result.PermitRequired {
+		t.Errorf("permit that is not accepted: %v", err)
+	}
+}
+
+// Guards against an order that runs twice, is lost or gets another order's answer when
+// datagrams are lost, duplicated and delayed. The service uses the permit package as
+// an entry instance does and answers separately; a message without permit runs nothing.
+func TestAtMostOnceOverLossyPath(t *testing.T) {
+	issuer, err := permit.NewIssuer(permit.Config{}, "entry-1", 1, rand.NewChaCha8([32]byte{1}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
-	r, err := client.Do(t.Context(), Request{Method: "POST", Path: "lines", Payload: []byte("tulip")})
-	if err != nil || string(r.Payload) != "permit:tulip" || r.Code != Changed {
+	rng := rand.New(rand.NewPCG(1, 2))
+	runs := map[string]int{}
+	mid := int32(0)
+	answer := func(m message.Message, reply func(message.Message)) {
+		echo, err := m.Options.GetBytes(message.Echo)
+		if err != nil {
+			reply(piggyback(m, codes.Unauthorized, "", option(message.Echo, issuer.Issue(time.Now(), 1, 1)...)))
+			return
+		}
+		d, err := issuer.Begin(time.Now(), echo, 1, 1, xxhash.Sum64(m.Payload), nil)
+		if err != nil {
+			reply(piggyback(m, codes.BadRequest, err.Error()))
+			return
+		}
+		reply(message.Message{Type: message.Acknowledgement, MessageID: m.MessageID})
+		text := ""
+		switch d := d.(type) {
+		case permit.Run:
+			runs[string(m.Payload)]++
+			text = "ran " + string(m.Payload)
+			issuer.Complete(time.Now(), d.Nonce, permit.Answer{Response: []byte(text)})
+		case permit.Replay:
+			text = string(d.Answer.Response)
+		}
+		mid++
+		r := piggyback(m, codes.Changed, text)
+		r.Type, r.MessageID = message.Confirmable, mid
+		reply(r)
+	}
+	var late []func()
+	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		if m.Code == codes.Empty {
+			return
+		}
+		for _, f := range late {
+			f()
+		}
+		late = nil
+		lossy := func(r message.Message) {
+			switch rng.IntN(5) {
+			case 0: // lost
+			case 1: // delayed until the next message arrives
+				late = append(late, func() { reply(r) })
+			case 2:
+				reply(r)
+				reply(r)
+			default:
+				reply(r)
+			}
+		}
+		if rng.IntN(4) > 0 {
+			answer(m, lossy)
+		}
+		if rng.IntN(4) == 0 {
+			answer(m, lossy)
+		}
+	})
+	client, answered := dial(t, fast, service), 0
+	for n := range 60 {
+		order := fmt.Sprint("order ", n)
+		r, err := client.Do(t.Context(), Request{Method: "POST", Path: "orders", Payload: []byte(order)})
+		service.Lock()
+		ran := runs[order]
+		service.Unlock()
+		switch {
+		case err == nil && (string(r.Payload) != "ran "+order || ran != 1):
+			t.Fatalf("%s ran %d times and was answered %q", order, ran, r.Payload)
+		case err == nil:
+			answered++
+		case !result.CodeOf(err).Unknown() || ran > 1:
+			t.Fatalf("%s ran %d times: %v", order, ran, err)
+		}
+	}
+	if answered < 50 {
+		t.Errorf("%d of 60 orders were answered", answered)
+	}
+}
+
+// Guards against a lost request that is not sent again, a retransmission that differs
+// from the first transmission, and a missing deadline.
+func TestRetransmission(t *testing.T) {
+	var seen []string
+	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		seen = append(seen, fmt.Sprint(m.MessageID, m.Token, m.Options))
+		if len(seen) == 3 {
+			ms, err := m.Options.GetUint32(OptionDeadline)
+			reply(piggyback(m, codes.Content, fmt.Sprint(ms > 1000 && ms <= 2000, err)))
+		}
+	})
+	r, err := dial(t, fast, service).Do(t.Context(), Request{Method: "GET", Path: "a", Deadline: 2 * time.Second})
+	if err != nil || string(r.Payload) != "true <nil>" {
 		t.Fatalf("got %+v, %v", r, err)
 	}
+	service.Lock()
+	defer service.Unlock()
+	if seen[0] != seen[1] || seen[1] != seen[2] {
+		t.Errorf("transmissions differ: %q", seen)
+	}
+}
+
+// Guards against waiting for ever for an instance that acknowledged a request and
+// failed before it answered.
+func TestAcknowledgedRequestIsRepeated(t *testing.T) {
+	count := 0
+	client := dial(t, fast, newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		if count++; count < 3 {
+			reply(message.Message{Type: message.Acknowledgement, MessageID: m.MessageID})
+			return
+		}
+		reply(piggyback(m, codes.Content, "from the new holder"))
+	}))
+	if r, err := client.Do(t.Context(), Request{Method: "GET"}); err != nil || string(r.Payload) != "from the new holder" {
+		t.Fatalf("got %+v, %v", r, err)
+	}
+}
+
+// Guards against a refusal that is not recognised, is repeated although it may have
+// run, is repeated before its time, or is repeated beyond the retry budget.
+func TestRefusals(t *testing.T) {
+	count := map[string]int{}
+	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		path, _ := m.Options.Path()
+		count[path]++
+		switch path {
+		case "/full":
+			reply(piggyback(m, codes.ServiceUnavailable, "[101] queue is full", option(message.MaxAge, 1)))
+		case "/unknown":
+			reply(piggyback(m, codes.GatewayTimeout, "[203] outcome unknown: no answer", option(message.MaxAge, 1)))
+		case "/plain":
+			reply(piggyback(m, codes.NotFound, "[no code] here"))
+		}
+	})
+	client := dial(t, fast, service)
+	tries := func(path string) int {
+		service.Lock()
+		defer service.Unlock()
+		return count[path]
+	}
+	begin := time.Now()
+	_, err := client.Do(t.Context(), Request{Method: "GET", Path: "full"})
+	var refused *result.Error
+	if !errors.As(err, &refused) || refused.Code != result.QueueFull || refused.Detail != "queue is full" {
+		t.Errorf("refusal: %v", err)
+	}
+	if took := time.Since(begin); tries("/full") != 2 || took < time.Second {
+		t.Errorf("%d tries in %s with a budget for 2", tries("/full"), took)
+	}
+	if _, err := client.Do(t.Context(), Request{Method: "GET", Path: "unknown"}); result.CodeOf(err) != result.BackendTimeout || tries("/unknown") != 1 {
+		t.Errorf("unknown outcome: %v after %d tries", err, tries("/unknown"))
+	}
+	if r, err := client.Do(t.Context(), Request{Method: "GET", Path: "plain"}); err != nil || r.Code != NotFound {
+		t.Errorf("answer of the backend server: %+v, %v", r, err)
+	}
+}
+
+// Guards against a large answer that mixes the blocks of two versions of a resource.
+func TestFetchRestartsOnChange(t *testing.T) {
+	bodies := [][]byte{bytes.Repeat([]byte("old!"), 100), bytes.Repeat([]byte("new."), 90)}
+	version, asked := 0, 0
+	client := dial(t, fast, newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		const szx, size = 2, 64
+		if asked++; asked == 4 {
+			version = 1
+		}
+		b, _ := block2(m)
+		offset := b.number * b.size()
+		if b.number == 0 {
+			offset = 0
+		}
+		body := bodies[version]
+		end := min(offset+size, len(body))
+		r := piggyback(m, codes.Content, string(body[offset:end]), option(message.ETag, byte(version)))
+		more := uint32(0)
+		if end < len(body) {
+			more = moreBit
+		}
+		setUint(&r, message.Block2, uint32(offset/size)<<4|more|szx)
+		reply(r)
+	}))
+	got, err := client.Fetch(t.Context(), "archive")
+	if err != nil || !bytes.Equal(got, bodies[1]) {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+// notification returns a confirmable notification to a registration.
+func notification(register message.Message, mid, sequence int, payload string, maxAge byte) message.Message {
+	m := piggyback(register, codes.Content, payload, option(message.MaxAge, maxAge))
+	m.Type, m.MessageID = message.Confirmable, int32(mid)
+	setUint(&m, message.Observe, uint32(sequence))
+	return m
+}
+
+// Guards against notifications out of order, states that are reported twice, missing
+// acknowledgements, a registration that is not refreshed before Max-Age, not renewed
+// after a silence or a refusal, or not cancelled.
+func TestObserve(t *testing.T) {
+	registrations, tokens, acked, cancelled := 0, map[string]bool{}, map[int32]int{}, false
+	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		if m.Type == message.Acknowledgement {
+			acked[m.MessageID]++
+			return
+		}
+		if v, _ := m.Options.Observe(); v == observeCancel {
+			cancelled = true
+			reply(piggyback(m, codes.Content, ""))
+			return
+		}
+		tokens[string(m.Token)] = true
+		registrations++
+		first := notification(m, int(m.MessageID), 10*registrations, fmt.Sprint("registered ", registrations), 1)
+		first.Type = message.Acknowledgement
+		switch registrations {
+		case 1:
+			reply(first)
+			reply(notification(m, 2, 13, "third", 1))
+			reply(notification(m, 1, 12, "second", 1))
+			reply(notification(m, 3, 14, "fourth", 1))
+			reply(notification(m, 3, 14, "fourth", 1))
+		case 2, 3, 4, 5: // silence: all transmissions of one refresh
+		case 6:
+			reply(piggyback(m, codes.ServiceUnavailable, "[108] shutting down", option(message.MaxAge, 0)))
+		default:
+			reply(first)
+		}
+	})
+	client := dial(t, fast, service)
+	states := make(chan string, 100)
+	s, err := client.Observe(t.Context(), "suite/7", func(n Notification) { states <- string(n.Payload) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"registered 1", "third", "fourth", "registered 7", "registered 8"} {
+		select {
+		case got := <-states:
+			if got != want {
+				t.Fatalf("got state %q, want %q", got, want)
+			}
+		case <-time.After(8 * time.Second):
+			t.Fatalf("no state %q: %+v", want, s.Stats())
+		}
+	}
+	if err := s.Close(t.Context()); err != nil {
+		t.Error(err)
+	}
+	service.Lock()
+	defer service.Unlock()
+	if len(tokens) != 1 || acked[1] != 1 || acked[2] != 1 || acked[3] != 2 || !cancelled {
+		t.Errorf("%d tokens, acknowledgements %v, cancelled %v", len(tokens), acked, cancelled)
+	}
+	if st := s.Stats(); st.Stale != 1 || st.Silences != 2 || st.Refreshes != 2 || s.Err() != nil {
+		t.Errorf("%+v, %v", st, s.Err())
+	}
+}
+
+// Guards against comparing Observe numbers as
+// plain integers.
+func TestFresh(t *testing.T) {
+	const wrap = 1 << 24
+	for _, c := range []struct {
+		last, next uint32
+		elapsed    time.Duration
+		want       bool
+	}{
+		{1, 2, 0, true}, {2, 1, 0, false}, {5, 5, 0, false},
+		{wrap - 1, 0, 0, true}, {0, wrap - 1, 0, false},
+		{2, 1, reorderWindow + 1, true},
+	} {
+		if got := fresh(c.last, c.next, c.elapsed); got != c.want {
+			t.Errorf("fresh(%d, %d, %s) = %v", c.last, c.next, c.elapsed, got)
+		}
+	}
+}
+
+// Guards against the reuse of a message ID while a receiver may still take it for a
+// duplicate (RFC 7252, 4.4).
+func TestMessageIDsAreNotReused(t *testing.T) {
+	ids, now, used := newMessageIDs(), time.Unix(0, 0), map[uint16]time.Time{}
+	refused := 0
+	for range 1_000_000 {
+		now = now.Add(time.Millisecond)
+		id, ok := ids.next(now)
+		if !ok {
+			refused++
+			continue
+		}
+		if at, ok := used[id]; ok && now.Sub(at) < exchangeLifetime {
+			t.Fatalf("message ID %d is reused after %s", id, now.Sub(at))
+		}
+		used[id] = now
+	}
+	if refused == 0 || refused > 800_000 {
+		t.Errorf("%d of 1,000,000 requests at 1,000/s were refused", refused)
+	}
+}
+
+// Guards against panics on datagrams from the network, replies other than ACK and RST,
+// and a response that is taken for one to another request.
+func FuzzHandle(f *testing.F) {
+	request := message.Message{Token: message.Token{1, 2, 3, 4}, MessageID: 7}
+	for _, m := range []message.Message{
+		piggyback(request, codes.Content, "body", option(message.Block2, 0x0a), option(message.ETag, 1)),
+		piggyback(request, codes.ServiceUnavailable, "[101] full", option(message.MaxAge, 5)),
+		notification(request, 9, 5, "state", 60),
+		{Type: message.Acknowledgement, MessageID: 7},
+		{Type: message.Reset, MessageID: 7},
+		{Type: message.Confirmable, MessageID: 8},
+	} {
+		b, err := encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+		f.Add(b[:len(b)-1])
+	}
+	f.Add([]byte{})
+	f.Add([]byte{0x40, 0x45, 0, 1, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c := newClient(Config{}, nil)
+		e, err := c.open(&token{1, 2, 3, 4})
+		if err != nil {
+			t.Fatal(err)
+		}
+		delete(c.byMID, e.mid)
+		e.mid = 7
+		c.byMID[7] = e
+		s := &Stream{client: c, queue: make(chan message.Message, 1)}
+		c.streams[token{5, 6, 7, 8}] = s
+		reply := c.handle(bytes.Clone(b))
+		if reply != nil && (len(reply) != 4 || reply[1] != 0 || !bytes.Equal(reply[2:], b[2:4]) || b[0]>>4 != 0x4) {
+			t.Fatalf("reply % x to % x", reply, b)
+		}
+		select {
+		case m := <-e.response:
+			if !bytes.Equal(m.Token, e.token[:]) || !isResponse(m.Code) || (m.Type == message.Acknowledgement && m.MessageID != 7) {
+				t.Fatalf("% x was taken for the response", b)
+			}
+			_ = refusal(m)
+			block2(m)
+			newResponse(m)
+		default:
+		}
+	})
 }
--- a/caller/client.go
+++ b/caller/client.go
@@ -33,12 +33,17 @@
 	// DefaultAckedRetransmit repeats a request that was acknowledged but not
 	// answered, because the instance that acknowledged it may have failed.
 	DefaultAckedRetransmit = 4 * time.Second
+	// DefaultRegisterPause is the shortest time between two attempts to renew a
+	// stream.
+	DefaultRegisterPause = time.Second
 	// DefaultRetryBudget is the share of first tries that may be tried again.
 	DefaultRetryBudget = 0.1
 	DefaultMaxBody     = 64 << 20
 
 	// retryBurst is the number of retries that an unused budget accumulates.
 	retryBurst = 10
+	// retrySpread is the share of a wait by which it is extended at random.
+	retrySpread = 0.25
 	// tokenBytes leaves 32 random bits, the minimum of RFC 7252, 5.3.1.
 	tokenBytes = 4
 	// recentMessages is the number of received messages that are kept to detect
@@ -54,6 +59,7 @@
 	MaxRetransmit   int
 	ResponseTimeout time.Duration
 	AckedRetransmit time.Duration
+	RegisterPause   time.Duration
 	RetryBudget     float64 // negative: no retries
 	MaxBody         int     // limit of an answer in blocks, in bytes
 }
@@ -63,6 +69,7 @@
 	setDefault(&c.MaxRetransmit, DefaultMaxRetransmit)
 	setDefault(&c.ResponseTimeout, DefaultResponseTimeout)
 	setDefault(&c.AckedRetransmit, DefaultAckedRetransmit)
+	setDefault(&c.RegisterPause, DefaultRegisterPause)
 	setDefault(&c.MaxBody, DefaultMaxBody)
 	if c.AckRandomFactor < 1 {
 		c.AckRandomFactor = DefaultAckRandomFactor
@@ -116,6 +123,7 @@
 	if cfg.Local.IsValid() {
 		local = net.UDPAddrFromAddrPort(cfg.Local)
 	}
+	service = netip.AddrPortFrom(service.Addr().Unmap(), service.Port())
 	conn, err := net.DialUDP("udp", local, net.UDPAddrFromAddrPort(service))
 	if err != nil {
 		return nil, fmt.Errorf("dial service %s: %w", service, err)
@@ -173,12 +181,21 @@
 
 // try performs a request until it is answered or must not be repeated.
 func (c *Client) try(ctx context.Context, m message.Message) (message.Message, error) {
-	c.earnRetry()
-	for {
+	return c.retry(ctx, func() (message.Message, error) {
 		answer, err := c.permitted(ctx, m)
 		if err == nil {
 			err = refusal(answer)
 		}
+		return answer, err
+	})
+}
+
+// retry calls f until it succeeds, its error must not be retried or the budget is
+// spent. The waits are spread, because many callers are refused at the same time.
+func (c *Client) retry(ctx context.Context, f func() (message.Message, error)) (message.Message, error) {
+	c.earnRetry()
+	for {
+		answer, err := f()
 		if err == nil {
 			return answer, nil
 		}
@@ -186,7 +203,7 @@
 		if !ok || !c.spendRetry() {
 			return answer, err
 		}
-		if !sleep(ctx, after) {
+		if !sleep(ctx, after+time.Duration(mathrand.Float64()*float64(after)*retrySpread)) {
 			return answer, err
 		}
 	}
@@ -366,9 +383,13 @@
 	}
 }
 
-// send writes a datagram. A lost datagram and one that could not be written are the
-// same to the protocol, so the error is dropped.
-func (c *Client) send(b []byte) { _, _ = c.conn.Write(b) }
+// send writes a datagram. The first write can fail with the ICMP error of an earlier
+// datagram. To the protocol, a datagram that cannot be written is a lost one.
+func (c *Client) send(b []byte) {
+	if _, err := c.conn.Write(b); err != nil {
+		_, _ = c.conn.Write(b)
+	}
+}
 
 func (c *Client) receive() {
 	defer close(c.done)
@@ -379,7 +400,9 @@
 			return
 		}
 		if err != nil {
-			// An ICMP error of an earlier datagram; the socket stays usable.
+			// An ICMP error of an earlier datagram; the socket stays usable. The
+			// pause keeps any other error from occupying a core.
+			time.Sleep(time.Millisecond)
 			continue
 		}
 		if reply := c.handle(append([]byte(nil), buf[:n]...)); reply != nil {
@@ -466,11 +489,10 @@
 	// A notification may arrive while a refresh of its stream waits for its answer.
 	// Both carry the current state, so either completes the refresh.
 	if e := c.exchanges[t]; e != nil {
-		select {
-		case e.response <- m:
-			return true
-		default:
-		}
+		// The exchange ends here: a notification that follows is not for it.
+		delete(c.exchanges, t)
+		e.response <- m
+		return true
 	}
 	if s := c.streams[t]; s != nil {
 		return s.offer(m)
--- a/caller/fetch.go
+++ b/caller/fetch.go
@@ -89,12 +89,15 @@
 	if block.number != 0 {
 		return nil, false, result.Errorf(result.BackendFailed, "the first block has number %d", block.number)
 	}
-	body = append(body, first.Payload...)
-	for block.more {
-		if len(body)%block.size() != 0 || len(body)/block.size() > maxBlockNumber || len(body) > c.cfg.MaxBody {
-			return nil, false, result.Errorf(result.BackendFailed, "invalid block of %d bytes after %d bytes", block.size(), len(body))
+	last := first.Payload
+	for {
+		if body = append(body, last...); !block.more {
+			return body, false, nil
 		}
 		next := len(body) / block.size()
+		if len(last) != block.size() || next > maxBlockNumber || len(body) > c.cfg.MaxBody {
+			return nil, false, result.Errorf(result.BackendFailed, "block of %d bytes where %d are due, after %d", len(last), block.size(), len(body))
+		}
 		m := request
 		m.Options = withOption(m.Options, message.Block2, nil)
 		setUint(&m, message.Block2, uint32(next)<<4|block.szx)
@@ -106,10 +109,9 @@
 		if answer.Code != first.Code || !ok || !bytes.Equal(newResponse(answer).ETag, etag) {
 			return nil, true, nil
 		}
-		if got.szx > block.szx || got.number*got.size() != len(body) || (got.more && len(answer.Payload) != got.size()) {
+		if got.szx > block.szx || got.number*got.size() != len(body) {
 			return nil, false, result.Errorf(result.BackendFailed, "block %d where %d was asked for", got.number, next)
 		}
-		body, block = append(body, answer.Payload...), got
+		last, block = answer.Payload, got
 	}
-	return body, false, nil
 }
--- a/caller/message.go
+++ b/caller/message.go
@@ -21,6 +21,8 @@
 const (
 	// maxDatagram is the IPv6 minimum MTU; larger messages may be fragmented.
 	maxDatagram = 1280
+	// maxSegment is the limit of a path segment and of a query (RFC 7252, 5.10).
+	maxSegment = 255
 	// maxOptions bounds the options of a received message.
 	maxOptions = 64
 	// defaultMaxAge applies to responses without the option (RFC 7252, 5.10.5).
@@ -83,11 +85,17 @@
 	}
 	m := message.Message{Code: code, Type: message.Confirmable, Payload: r.Payload}
 	for segment := range strings.SplitSeq(r.Path, "/") {
+		if len(segment) > maxSegment {
+			return m, result.Errorf(result.OversizedDatagram, "path segment of %d bytes, at most %d", len(segment), maxSegment)
+		}
 		if segment != "" {
 			m.Options = m.Options.Add(message.Option{ID: message.URIPath, Value: []byte(segment)})
 		}
 	}
 	for _, q := range r.Query {
+		if len(q) > maxSegment {
+			return m, result.Errorf(result.OversizedDatagram, "query of %d bytes, at most %d", len(q), maxSegment)
+		}
 		m.Options = m.Options.Add(message.Option{ID: message.URIQuery, Value: []byte(q)})
 	}
 	return m, nil
--- a/caller/observe.go
+++ b/caller/observe.go
@@ -16,11 +16,11 @@
 	observeRegister = 0
 	observeCancel   = 1
 
-	// refreshShare is the share of Max-Age after which a stream without a
-	// notification is refreshed. The rest is left for retransmissions.
-	refreshShare = 0.75
-	// registerPause is the shortest time between two attempts to register.
-	registerPause = time.Second
+	// A stream without a notification is refreshed after this share of Max-Age, which
+	// is spread so that streams do not stay in step. The rest is left for
+	// retransmissions.
+	refreshShare  = 0.75
+	refreshSpread = 0.15
 	// notificationQueue bounds the notifications that wait for the callback. Those
 	// beyond it are not acknowledged, so the service repeats them.
 	notificationQueue = 64
@@ -82,7 +82,7 @@
 		queue:   make(chan message.Message, notificationQueue),
 		done:    make(chan struct{}),
 	}
-	first, err := s.register(ctx)
+	first, err := c.retry(ctx, func() (message.Message, error) { return s.register(ctx) })
 	if err != nil {
 		c.removeStream(s)
 		return nil, err
@@ -125,13 +125,13 @@
 func (s *Stream) register(ctx context.Context) (message.Message, error) {
 	m := s.request
 	for range 2 {
+		s.client.removeStream(s) // of an earlier attempt
 		s.client.addStream(s)
 		answer, err := s.client.exchange(ctx, m, &s.token)
 		if err != nil {
 			return answer, err
 		}
 		if echo, missing := answer.Options.GetBytes(message.Echo); Code(answer.Code) == Unauthorized && missing == nil {
-			s.client.removeStream(s)
 			m.Options = withOption(s.request.Options, message.Echo, echo)
 			continue
 		}
@@ -184,13 +184,13 @@
 	defer close(s.done)
 	defer s.client.removeStream(s)
 	defer s.cancel()
-	err := s.receive(first)
+	err := s.receive(ctx, first)
 	timer := time.NewTimer(s.refreshAfter())
 	defer timer.Stop()
 	for err == nil {
 		select {
 		case m := <-s.queue:
-			err = s.next(timer, s.receive(m))
+			err = s.next(timer, s.receive(ctx, m))
 		case <-timer.C:
 			err = s.refresh(ctx, timer)
 		case <-ctx.Done():
@@ -210,7 +210,7 @@
 func (s *Stream) refresh(ctx context.Context, timer *time.Timer) error {
 	answer, err := s.client.exchange(ctx, s.request, &s.token)
 	if err == nil {
-		if err = s.receive(answer); err == nil {
+		if err = s.receive(ctx, answer); err == nil {
 			s.count(func(st *StreamStats) { st.Refreshes++ })
 		}
 	}
@@ -229,22 +229,24 @@
 		return err
 	}
 	s.count(func(st *StreamStats) { st.Silences++ })
-	timer.Reset(registerWait(err))
+	timer.Reset(s.registerWait(err))
 	return nil
 }
 
 // registerWait returns the time until the next attempt after a failed one.
-func registerWait(err error) time.Duration {
-	wait := registerPause
+func (s *Stream) registerWait(err error) time.Duration {
+	pause := s.client.cfg.RegisterPause
+	wait := pause
 	var hint *RetryAfter
 	if errors.As(err, &hint) {
 		wait = max(wait, hint.After)
 	}
-	return wait + time.Duration(mathrand.Float64()*float64(registerPause))
+	return wait + time.Duration(mathrand.Float64()*float64(pause))
 }
 
-// receive passes on a state that is later than the last one.
-func (s *Stream) receive(m message.Message) error {
+// receive passes on a state that is later than the last one. Of a state in blocks,
+// the notification carries the first; the others are fetched.
+func (s *Stream) receive(ctx context.Context, m message.Message) error {
 	if err := s.check(m); err != nil {
 		return err
 	}
@@ -257,7 +259,12 @@
 		s.count(func(st *StreamStats) { st.Stale++ })
 		return nil
 	}
-	r := newResponse(m)
+	get := s.request
+	get.Options = withOption(get.Options, message.Observe, nil).Remove(message.Observe)
+	r, err := s.client.blocks(ctx, get, m)
+	if err != nil {
+		return err
+	}
 	s.last, s.received, s.maxAge = sequence, now, r.MaxAge
 	s.count(func(st *StreamStats) { st.Notifications++ })
 	s.fn(Notification{Response: *r, Sequence: sequence, Received: now})
@@ -265,7 +272,8 @@
 }
 
 func (s *Stream) refreshAfter() time.Duration {
-	return max(time.Duration(float64(s.maxAge)*refreshShare), registerPause/4)
+	share := refreshShare - mathrand.Float64()*refreshSpread
+	return max(time.Duration(float64(s.maxAge)*share), s.client.cfg.RegisterPause/4)
 }
 
 func (s *Stream) count(f func(*StreamStats)) {
