--- a/test/lab/cluster/cluster.go
+++ b/test/lab/cluster/cluster.go
@@ -46,9 +46,12 @@
 	Dir        string // directory for logs and the questionnaire
 	// DaemonArgs are added to the command line of each instance.
 	DaemonArgs []string
-	FabricLag  time.Duration
-	DetectLag  time.Duration
-	ListLag    time.Duration
+	// ProcessPerServer runs each backend server in a process of its own, instead of one
+	// process for each failure domain.
+	ProcessPerServer bool
+	FabricLag        time.Duration
+	DetectLag        time.Duration
+	ListLag          time.Duration
 }
 
 // Instance is a running entry instance.
@@ -69,9 +72,9 @@
 	ListControl    Control
 	FabricAddress  netip.AddrPort
 	platform       []*Process
-	backends       map[string]Control // by domain
-	backendProcess map[string]*Process
-	serverDomain   map[string]string
+	backends       map[string]Control  // by group: servers that share a process
+	backendProcess map[string]*Process // by group
+	serverGroup    map[string]string   // by server
 
 	mu        sync.Mutex // protects the fields below
 	instances map[string]*Instance
@@ -86,7 +89,7 @@
 	setDefault(&cfg.ListLag, DefaultListLag)
 	return &Cluster{
 		cfg: cfg, backends: map[string]Control{}, backendProcess: map[string]*Process{},
-		serverDomain: map[string]string{}, instances: map[string]*Instance{},
+		serverGroup: map[string]string{}, instances: map[string]*Instance{},
 	}
 }
 
@@ -140,8 +143,17 @@
 		s.Address = bound.Address
 	}
 	for _, d := range c.cfg.Deployment.Answers.Domains {
-		if err := c.startBackends(ctx, d.Name); err != nil {
-			return err
+		specs := c.cfg.Deployment.specs(d.Name)
+		if !c.cfg.ProcessPerServer {
+			if err := c.startBackends(ctx, d.Name, specs); err != nil {
+				return err
+			}
+			continue
+		}
+		for _, spec := range specs {
+			if err := c.startBackends(ctx, spec.Name, []backendserver.Spec{spec}); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -178,26 +190,25 @@
 	return p, fields, nil
 }
 
-// startBackends starts the backend servers of a domain in one process, takes over their
+// startBackends starts a group of backend servers in one process, takes over their
 // addresses and lists them.
-func (c *Cluster) startBackends(ctx context.Context, domain string) error {
-	specs := c.cfg.Deployment.specs(domain)
+func (c *Cluster) startBackends(ctx context.Context, group string, specs []backendserver.Spec) error {
 	b, err := json.Marshal(specs)
 	if err != nil {
 		return err
 	}
-	p, ready, err := c.startStandin(ctx, "backendserver", "backends-"+domain, "--servers", string(b))
+	p, ready, err := c.startStandin(ctx, "backendserver", "backends-"+group, "--servers", string(b))
 	if err != nil {
 		return err
 	}
 	control := Control{URL: ready["control"]}
-	c.backends[domain], c.backendProcess[domain] = control, p
+	c.backends[group], c.backendProcess[group] = control, p
 	var all []backendserver.Status
 	if err := control.Do(ctx, "GET", "/servers", nil, &all); err != nil {
 		return err
 	}
 	for _, st := range all {
-		c.serverDomain[st.Name] = domain
+		c.serverGroup[st.Name] = group
 		s, ok := c.cfg.Deployment.Service(st.Service)
 		if !ok {
 			return fmt.Errorf("backend server %s is of the unknown service %s", st.Name, st.Service)
@@ -289,15 +300,15 @@
 
 // launch starts the process of an instance at free ports.
 func (c *Cluster) launch(spec InstanceSpec) (*Instance, error) {
-	peer, err := freePort("tcp")
+	peer, err := freePort()
 	if err != nil {
 		return nil, err
 	}
-	metrics, err := freePort("tcp")
+	metrics, err := freePort()
 	if err != nil {
 		return nil, err
 	}
-	listen, err := freePort("udp")
+	listen, err := freePort()
 	if err != nil {
 		return nil, err
 	}
@@ -413,11 +424,11 @@
 
 // server returns the control endpoint of a backend server and the path of the server.
 func (c *Cluster) server(name string) (Control, string, error) {
-	domain, ok := c.serverDomain[name]
+	group, ok := c.serverGroup[name]
 	if !ok {
 		return Control{}, "", fmt.Errorf("backend server %q does not exist", name)
 	}
-	return c.backends[domain], "/servers/" + url.PathEscape(name), nil
+	return c.backends[group], "/servers/" + url.PathEscape(name), nil
 }
 
 // DrainServer marks a backend server as leaving in the list and starts its drain.
@@ -445,6 +456,16 @@
 	)
 }
 
+// BackendProcess returns the process that runs a backend server, for pauses and crashes.
+// It runs all servers of the domain unless each server has a process of its own.
+func (c *Cluster) BackendProcess(name string) (*Process, error) {
+	p, ok := c.backendProcess[c.serverGroup[name]]
+	if !ok {
+		return nil, fmt.Errorf("backend server %q does not exist", name)
+	}
+	return p, nil
+}
+
 // KillServer ends a backend server without notice; a silent one answers nothing, not
 // even with an ICMP error.
 func (c *Cluster) KillServer(ctx context.Context, name string, silent bool) error {
@@ -491,13 +512,13 @@
 // entries is an error, because nothing can be concluded from it.
 func (c *Cluster) Executions(ctx context.Context) ([]backendserver.Execution, error) {
 	var all []backendserver.Execution
-	for domain, control := range c.backends {
+	for group, control := range c.backends {
 		var r backendserver.LogReply
 		if err := control.Do(ctx, "GET", "/log", nil, &r); err != nil {
 			return nil, err
 		}
 		if r.Dropped > 0 {
-			return nil, fmt.Errorf("execution log of %s dropped %d entries", domain, r.Dropped)
+			return nil, fmt.Errorf("execution log of %s dropped %d entries", group, r.Dropped)
 		}
 		all = append(all, r.Entries...)
 	}
--- a/test/lab/cluster/cluster_test.go
+++ b/test/lab/cluster/cluster_test.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(Config{Deployment: d, Lab: bin.Lab, Daemon: bin.Daemon, Ctl: bin.Ctl, Dir: filepath.Join(dir, "run")})
+	c := New(Config{Deployment: d, Lab: bin.Lab, Daemon: bin.Daemon, Ctl: bin.Ctl, Dir: filepath.Join(dir, "run"), ProcessPerServer: true})
 	t.Cleanup(func() {
 		if err := c.Close(context.WithoutCancel(ctx)); err != nil {
 			t.Error(err)
@@ -89,6 +89,17 @@
 	if err != nil || len(servers) != 19 {
 		t.Fatalf("%d backend servers, %v", len(servers), err)
 	}
+	name := servers[0].Name
+	p, err := c.BackendProcess(name)
+	if err != nil || p.Name() != "backends-"+name {
+		t.Fatalf("process of %s: %v, %v", name, p, err)
+	}
+	if err := c.DrainServer(ctx, name, time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if servers, err = c.Servers(ctx); err != nil || !servers[0].Draining || servers[1].Draining {
+		t.Fatalf("servers after one drain: %+v, %v", servers[:2], err)
+	}
 	if err := c.SetStoreFaults(ctx, kvservice.Faults{LoseNextAnswers: 1}); err != nil {
 		t.Fatal(err)
 	}
--- a/test/lab/cluster/control.go
+++ b/test/lab/cluster/control.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 )
 
@@ -71,21 +73,49 @@
 	return string(b), err
 }
 
-// freePort returns a loopback address that nobody listens on, for TCP or UDP. Another
-// process can take it before it is used; the start of the process then fails.
-func freePort(network string) (netip.AddrPort, error) {
-	if network == "udp" {
-		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			return netip.AddrPort{}, err
+// Range of the ports of instances. It lies below the range from which systems take the
+// ports of outgoing connections, so that none of them takes a port before its instance
+// binds it.
+const (
+	firstPort = 12000
+	portCount = 18000
+	portTries = 1000
+)
+
+// ports remembers what this process has handed out.
+var ports struct {
+	mu   sync.Mutex
+	used map[uint16]bool
+}
+
+// freePort returns a loopback address that nobody listens on, neither for TCP nor UDP.
+func freePort() (netip.AddrPort, error) {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.used == nil {
+		ports.used = map[uint16]bool{}
+	}
+	for range portTries {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), firstPort+uint16(rand.IntN(portCount)))
+		if ports.used[a.Port()] || !canBind(a) {
+			continue
 		}
-		defer func() { _ = c.Close() }()
-		return netip.ParseAddrPort(c.LocalAddr().String())
+		ports.used[a.Port()] = true
+		return a, nil
+	}
+	return netip.AddrPort{}, fmt.Errorf("no free port among %d tries", portTries)
+}
+
+func canBind(a netip.AddrPort) bool {
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(a))
+	if err != nil {
+		return false
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	_ = l.Close() // it was only opened to see whether it can be
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
 	if err != nil {
-		return netip.AddrPort{}, err
+		return false
 	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
+	_ = c.Close()
+	return true
 }
--- a/test/lab/options.go
+++ b/test/lab/options.go
@@ -26,6 +26,7 @@
 	dir        string
 	daemon     string
 	daemonArgs []string
+	perServer  bool
 }
 
 func (o *options) addFlags(f *pflag.FlagSet) {
@@ -33,6 +34,7 @@
 	f.Uint64Var(&o.seed, "seed", 1, "seed of load, stand-ins and instances")
 	f.StringVar(&o.dir, "dir", "", "directory for binaries and logs; empty takes a temporary one that is removed after success")
 	f.StringVar(&o.daemon, "daemon", "", "monsoonthreadd to use instead of building it")
+	f.BoolVar(&o.perServer, "process-per-server", false, "run each backend server in a process of its own")
 	f.StringArrayVar(&o.daemonArgs, "daemon-arg", nil, "argument added to the command line of each instance")
 }
 
@@ -70,6 +72,7 @@
 	fmt.Fprintf(out, "built in %.1fs, logs in %s\n", time.Since(begin).Seconds(), dir)
 	c := cluster.New(cluster.Config{
 		Deployment: d, Daemon: bin.Daemon, Ctl: bin.Ctl, Lab: bin.Lab, Dir: filepath.Join(dir, "logs"), DaemonArgs: o.daemonArgs,
+		ProcessPerServer: o.perServer,
 	})
 	end := func(failed bool) error {
 		// The context of the command may have been cancelled by an interrupt.
