--- a/admission/queue.go
+++ b/admission/queue.go
@@ -45,12 +45,16 @@
 	DefaultBuckets     = 256
 	// minBound lets a burst wait at a service whose rate is still unknown or low.
 	minBound = 8
-	// creditLimit bounds, in requests, what a class may claim at once after waiting.
+	// creditLimit bounds, in requests of the class with the longest ones, what a class
+	// may claim at once after waiting.
 	creditLimit = 2.0
 	// costGain is the weight of one sample in the mean slot time of a class.
 	costGain = 1.0 / 16
-	minCost  = 1e-6 // seconds; keeps the ratio of costs finite
-	none     = int32(-1)
+	// shareMargin raises the shares a little: the costs are estimates, and with exactly
+	// its share a class got up to 1% less than it.
+	shareMargin = 1.03
+	minCost     = 1e-6 // seconds; keeps the ratio of costs finite
+	none        = int32(-1)
 )
 
 // Refusal is the error of a refused request.
@@ -143,7 +147,7 @@
 		total += s
 	}
 	for c := range q.classes {
-		q.classes[c].share = float64(minShares[c]) / float64(max(total, 100))
+		q.classes[c].share = float64(minShares[c]) * min(shareMargin/100, 1/float64(max(total, 1)))
 	}
 }
 
@@ -226,7 +230,7 @@
 }
 
 // Next removes the request that goes next. Requests past their deadline must have
-// been removed by Expire.
+// been removed by Expire. Granted must follow if the request gets a slot.
 func (q *Queue) Next(time.Time) (Item, bool) {
 	c := q.nextClass()
 	if c < 0 {
@@ -238,7 +242,6 @@
 	k.turn = b.next
 	it := q.nodes[i].item
 	q.remove(i)
-	q.settle(c)
 	return it, true
 }
 
@@ -264,14 +267,18 @@
 	return first
 }
 
-// settle charges the slot time of a request of class c. Every class that waits gains
-// its share of it, and class c pays.
-func (q *Queue) settle(c int) {
-	cost := q.classes[c].cost
+// Granted charges the slot time of a request of class c that left the queue for a
+// slot. Every class that waits gains its share of it, and class c pays. A request that
+// left the queue to be refused costs its class nothing.
+func (q *Queue) Granted(c config.Class) {
+	cost, longest := q.classes[c].cost, 0.0
+	for i := range q.classes {
+		longest = max(longest, q.classes[i].cost)
+	}
 	for i := range q.classes {
 		k := &q.classes[i]
-		if k.n > 0 || i == c {
-			k.credit = min(k.credit+k.share*cost, creditLimit*k.cost)
+		if k.n > 0 || config.Class(i) == c {
+			k.credit = min(k.credit+k.share*cost, creditLimit*longest)
 		}
 	}
 	q.classes[c].credit = max(0, q.classes[c].credit-cost)
--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -209,6 +209,10 @@
 		return
 	}
 	sch := d.schedulers.get(in.ServiceId)
+	if !d.members.serves.Load() {
+		d.refuseJob(job, nil, result.Errorf(result.InstanceNotReady, "this instance is joining"), 0)
+		return
+	}
 	if sch == nil || d.members.fenced(now) {
 		d.refuseJob(job, sch, result.Errorf(result.Fenced, "this instance is rejoining"), 0)
 		return
@@ -339,11 +343,16 @@
 	}
 }
 
-// roleOwner is the role of the instance that dispatches a server.
-const roleOwner = "owner"
+// The roles of an instance towards a server, as the scheduler reports them.
+const (
+	roleOwner    = "owner"
+	roleReleased = "released"
+)
 
+// serverAvailable reports whether streams may stay on a server. They leave a suspect
+// one too: a move makes before it breaks, so a wrong suspicion costs no notification.
 func serverAvailable(state string) bool {
-	return state != backend.Draining.String() && state != backend.Out.String()
+	return state != backend.Draining.String() && state != backend.Out.String() && state != backend.Suspect.String()
 }
 
 // handleHandoverRequest releases servers to the instance that dispatches them now.
