--- a/test/lab/cluster/accept.go
+++ b/test/lab/cluster/accept.go
@@ -20,6 +20,7 @@
 // tool is a *result.Error with the code that it reported.
 func (c *Cluster) Ctl(ctx context.Context, args ...string) ([]byte, error) {
 	args = append(args, "--output", "json", "--store-url", c.StoreControl.URL)
+	args = append(args, c.certificates.args()...)
 	var peers []string
 	for _, in := range c.Instances() {
 		peers = append(peers, in.PeerAddress.String())
--- a/test/lab/cluster/cluster.go
+++ b/test/lab/cluster/cluster.go
@@ -49,9 +49,11 @@
 	// ProcessPerServer runs each backend server in a process of its own, instead of one
 	// process for each failure domain.
 	ProcessPerServer bool
-	FabricLag        time.Duration
-	DetectLag        time.Duration
-	ListLag          time.Duration
+	// TLS makes instances and monsoonctl use mutual TLS with certificates of the lab.
+	TLS       bool
+	FabricLag time.Duration
+	DetectLag time.Duration
+	ListLag   time.Duration
 }
 
 // Instance is a running entry instance.
@@ -75,6 +77,7 @@
 	backends       map[string]Control  // by group: servers that share a process
 	backendProcess map[string]*Process // by group
 	serverGroup    map[string]string   // by server
+	certificates   certificates
 
 	mu        sync.Mutex // protects the fields below
 	instances map[string]*Instance
@@ -119,6 +122,12 @@
 	if err := os.MkdirAll(c.cfg.Dir, 0o755); err != nil {
 		return err
 	}
+	if c.cfg.TLS {
+		var err error
+		if c.certificates, err = newCertificates(c.cfg.Dir); err != nil {
+			return err
+		}
+	}
 	seed := strconv.FormatUint(c.cfg.Deployment.Seed, 10)
 	ready, err := c.startPlatformPart(ctx, "fabric", &c.FabricControl, "--seed", seed)
 	if err != nil {
@@ -322,7 +331,8 @@
 		"--metrics-address", metrics.String(), "--store-url", c.StoreControl.URL, "--instance-list-url", c.ListControl.URL,
 		"--backend-source-ip", "127.0.0.1", "--fault-injection", "--seed", strconv.FormatUint(seed, 10),
 	}
-	p, err := Start(Command{Name: spec.ID, Path: c.cfg.Daemon, Args: append(args, c.cfg.DaemonArgs...), Dir: c.cfg.Dir})
+	args = append(append(args, c.certificates.args()...), c.cfg.DaemonArgs...)
+	p, err := Start(Command{Name: spec.ID, Path: c.cfg.Daemon, Args: args, Dir: c.cfg.Dir})
 	if err != nil {
 		return nil, err
 	}
--- a/test/lab/cluster/cluster_test.go
+++ b/test/lab/cluster/cluster_test.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(Config{Deployment: d, Lab: bin.Lab, Daemon: bin.Daemon, Ctl: bin.Ctl, Dir: filepath.Join(dir, "run"), ProcessPerServer: true})
+	c := New(Config{Deployment: d, Lab: bin.Lab, Daemon: bin.Daemon, Ctl: bin.Ctl, Dir: filepath.Join(dir, "run"), ProcessPerServer: true, TLS: true})
 	t.Cleanup(func() {
 		if err := c.Close(context.WithoutCancel(ctx)); err != nil {
 			t.Error(err)
--- a/test/lab/options.go
+++ b/test/lab/options.go
@@ -27,6 +27,7 @@
 	daemon     string
 	daemonArgs []string
 	perServer  bool
+	tls        bool
 }
 
 func (o *options) addFlags(f *pflag.FlagSet) {
@@ -34,6 +35,7 @@
 	f.Uint64Var(&o.seed, "seed", 1, "seed of load, stand-ins and instances")
 	f.StringVar(&o.dir, "dir", "", "directory for binaries and logs; empty takes a temporary one that is removed after success")
 	f.StringVar(&o.daemon, "daemon", "", "monsoonthreadd to use instead of building it")
+	f.BoolVar(&o.tls, "tls", false, "use mutual TLS between instances")
 	f.BoolVar(&o.perServer, "process-per-server", false, "run each backend server in a process of its own")
 	f.StringArrayVar(&o.daemonArgs, "daemon-arg", nil, "argument added to the command line of each instance")
 }
@@ -72,7 +74,7 @@
 	fmt.Fprintf(out, "built in %.1fs, logs in %s\n", time.Since(begin).Seconds(), dir)
 	c := cluster.New(cluster.Config{
 		Deployment: d, Daemon: bin.Daemon, Ctl: bin.Ctl, Lab: bin.Lab, Dir: filepath.Join(dir, "logs"), DaemonArgs: o.daemonArgs,
-		ProcessPerServer: o.perServer,
+		ProcessPerServer: o.perServer, TLS: o.tls,
 	})
 	end := func(failed bool) error {
 		// The context of the command may have been cancelled by an interrupt.
