--- a/internal/standin/callers/load.go
+++ b/internal/standin/callers/load.go
@@ -228,6 +228,8 @@
 func classify(resp *caller.Response, err error, inTime bool) (Outcome, string) {
 	if err == nil {
 		switch {
+		case resp.Code == caller.GatewayTimeout:
+			return Unknown, resp.Code.String() // a server abandoned the request while it ran
 		case !resp.Code.Success():
 			return Failed, resp.Code.String()
 		case !inTime:
--- a/test/lab/result.go
+++ b/test/lab/result.go
@@ -12,6 +12,7 @@
 
 // Result is the outcome of one run.
 type Result struct {
+	Revision   string `json:"revision"` // commit that was built
 	Scenario   string `json:"scenario"`
 	Baseline   string `json:"baseline,omitempty"`
 	Deployment string `json:"deployment"`
