--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -31,6 +31,7 @@
 	version      uint64
 	incarnations map[string]uint64
 	sent         int64 // bytes
+	messages     int
 	busy         time.Duration
 }
 
@@ -144,6 +145,17 @@
 	nd.results = nd.results[:0]
 }
 
+// diagnosed counts the diagnostics of a name since the test cleared the actions.
+func (nd *node) diagnosed(name string) int {
+	count := 0
+	for _, a := range nd.actions {
+		if d, ok := a.(Diagnostic); ok && d.Name == name {
+			count++
+		}
+	}
+	return count
+}
+
 // checkView guards against versions that go down.
 func (n *network) checkView(nd *node, v *View) {
 	if v.Version <= nd.version {
@@ -163,6 +175,7 @@
 func (n *network) transmit(from *node, s Send) {
 	if n.measure {
 		from.sent += int64(proto.Size(s.Message)) + n.framing
+		from.messages++
 	}
 	if k := s.Message.Kind; (k == kindPing || k == kindAck) && len(s.Message.Updates) > maxUpdates+2 {
 		n.t.Fatalf("%d updates in one message", len(s.Message.Updates))
