--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -19,6 +19,7 @@
 	"github.com/monsoonthread/monsoonthread/membership"
 	"github.com/monsoonthread/monsoonthread/peer/peerpb"
 	"github.com/monsoonthread/monsoonthread/questionnaire"
+	"github.com/monsoonthread/monsoonthread/result"
 )
 
 // fakeInstance serves the Operator calls of one entry instance.
@@ -100,6 +101,22 @@
 	return store
 }
 
+// proposal writes a proposal without a store.
+func (c *console) proposal() string {
+	answers, err := questionnaire.Parse(questionnaire.Template("bellefleur"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	generated, err := questionnaire.Generate(answers, nil)
+	if err == nil {
+		err = newProposal("bellefleur", 0, generated).write(c.path("proposal"))
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return c.path("proposal")
+}
+
 func (c *console) writeQuestionnaire(replacements ...string) {
 	b := strings.NewReplacer(replacements...).Replace(string(questionnaire.Template("bellefleur")))
 	if err := os.WriteFile(c.path("q.yaml"), []byte(b), 0o600); err != nil {
@@ -167,6 +184,9 @@
 	} {
 		c.run(ExitUsage, "monsoonctl: [601]", args...)
 	}
+	// Incomplete TLS files must not lead to connections without TLS.
+	c.run(ExitError, "[601] mutual TLS needs", "status", "--instances", "127.0.0.1:1", "--tls-cert", "x")
+	c.run(ExitError, "[601] mutual TLS needs", "questionnaire", "diff", c.proposal(), "--store-url", "https://127.0.0.1:1", "--tls-ca", "x")
 	c.env["MONSOONTHREAD_OUTPUT"] = "json"
 	c.run(ExitOK, `"go": "go`, "version")
 	c.run(ExitOK, "monsoonctl ", "version", "--output", "text") // a flag outranks the environment
@@ -240,3 +260,24 @@
 		t.Fatalf("%d events after 1004:\n%s", got, &c.out)
 	}
 }
+
+// Guards against a proposal file that is accepted although it is not valid, or that
+// the tool does not survive.
+func FuzzProposal(f *testing.F) {
+	f.Add([]byte(`{"format":1,"accept_id":"a","config":{"domains":[{"name":"a","weight":1}]}}`))
+	f.Add([]byte(`{"format":1,"accept_id":"a","config":null}`))
+	f.Add([]byte(`{"format":1,"accept_id":"a","config":{"domains":[]}}`))
+	f.Add([]byte(`{"format":2}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, err := decodeProposal(b)
+		if err != nil {
+			if result.CodeOf(err) != result.ConfigMalformed {
+				t.Fatal(err)
+			}
+			return
+		}
+		if err := p.Config.Validate(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
