Tighten the tests of caller

Mutants that had survived now fail: retry of an unknown outcome, wrong block number, late refresh, no Reset for an ended stream. The second write after a failed one is removed again: no test could show an effect, because the receiver takes the ICMP error first, and retransmission covers the rest.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -296,6 +296,9 @@
 		defer service.Unlock()
 		return count[path]
 	}
+	if _, err := client.Do(t.Context(), Request{Method: "GET", Path: "unknown"}); result.CodeOf(err) != result.BackendTimeout || tries("/unknown") != 1 {
+		t.Errorf("unknown outcome: %v after %d tries", err, tries("/unknown"))
+	}
 	begin := time.Now()
 	_, err := client.Do(t.Context(), Request{Method: "GET", Path: "full"})
 	var refused *result.Error
@@ -305,15 +308,13 @@
 	if took := time.Since(begin); tries("/full") != 2 || took < time.Second {
 		t.Errorf("%d tries in %s with a budget for 2", tries("/full"), took)
 	}
-	if _, err := client.Do(t.Context(), Request{Method: "GET", Path: "unknown"}); result.CodeOf(err) != result.BackendTimeout || tries("/unknown") != 1 {
-		t.Errorf("unknown outcome: %v after %d tries", err, tries("/unknown"))
-	}
 	if r, err := client.Do(t.Context(), Request{Method: "GET", Path: "plain"}); err != nil || r.Code != NotFound {
 		t.Errorf("answer of the backend server: %+v, %v", r, err)
 	}
 }
 
-// Guards against a large answer that mixes the blocks of two versions of a resource.
+// Guards against a large answer that mixes the blocks of two versions of a resource or
+// repeats a block in the place of another.
 func TestFetchRestartsOnChange(t *testing.T) {
 	bodies := [][]byte{bytes.Repeat([]byte("old!"), 100), bytes.Repeat([]byte("new."), 90)}
 	version, asked := 0, 0
@@ -331,6 +332,9 @@
 		end := min(offset+size, len(body))
 		r := piggyback(m, codes.Content, string(body[offset:end]), option(message.ETag, byte(version)))
 		more := uint32(0)
+		if path, _ := m.Options.Path(); path == "/broken" {
+			offset, end = 0, size
+		}
 		if end < len(body) {
 			more = moreBit
 		}
@@ -341,6 +345,10 @@
 	if err != nil || !bytes.Equal(got, bodies[1]) {
 		t.Fatalf("got %q, %v", got, err)
 	}
+	var failed *result.Error
+	if got, err := client.Fetch(t.Context(), "broken"); !errors.As(err, &failed) || failed.Detail != "block 0 where 1 was asked for" {
+		t.Errorf("wrong block: got %d bytes, %v", len(got), err)
+	}
 }
 
 // notification returns a confirmable notification to a registration.
@@ -353,17 +361,26 @@
 
 // Guards against notifications out of order, states that are reported twice, missing
 // acknowledgements, a registration that is not refreshed before Max-Age, not renewed
-// after a silence or a refusal, or not cancelled.
+// after a silence or a refusal, or not cancelled, and a notification to an ended stream
+// that is not rejected.
 func TestObserve(t *testing.T) {
+	const ended = 99
 	registrations, tokens, acked, cancelled := 0, map[string]bool{}, map[int32]int{}, false
+	rejected := make(chan int32, 1)
+	var registered, refreshed time.Time
 	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
 		if m.Type == message.Acknowledgement {
 			acked[m.MessageID]++
 			return
 		}
+		if m.Type == message.Reset {
+			rejected <- m.MessageID
+			return
+		}
 		if v, _ := m.Options.Observe(); v == observeCancel {
 			cancelled = true
 			reply(piggyback(m, codes.Content, ""))
+			reply(notification(m, ended, 1000, "late", 1))
 			return
 		}
 		tokens[string(m.Token)] = true
@@ -372,12 +389,15 @@
 		first.Type = message.Acknowledgement
 		switch registrations {
 		case 1:
+			registered = time.Now()
 			reply(first)
 			reply(notification(m, 2, 13, "third", 1))
 			reply(notification(m, 1, 12, "second", 1))
-			reply(notification(m, 3, 14, "fourth", 1))
-			reply(notification(m, 3, 14, "fourth", 1))
-		case 2, 3, 4, 5: // silence: all transmissions of one refresh
+			reply(notification(m, 3, 14, "fourth", 2))
+			reply(notification(m, 3, 14, "fourth", 2))
+		case 2:
+			refreshed = time.Now()
+		case 3, 4, 5: // silence: all transmissions of one refresh
 		case 6:
 			reply(piggyback(m, codes.ServiceUnavailable, "[108] shutting down", option(message.MaxAge, 0)))
 		default:
@@ -403,8 +423,19 @@
 	if err := s.Close(t.Context()); err != nil {
 		t.Error(err)
 	}
+	select {
+	case mid := <-rejected:
+		if mid != ended {
+			t.Errorf("message %d was rejected", mid)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the notification after the end was not rejected")
+	}
 	service.Lock()
 	defer service.Unlock()
+	if after := refreshed.Sub(registered); after > 2*time.Second {
+		t.Errorf("refreshed after %s with a Max-Age of 2 s", after)
+	}
 	if len(tokens) != 1 || acked[1] != 1 || acked[2] != 1 || acked[3] != 2 || !cancelled {
 		t.Errorf("%d tokens, acknowledgements %v, cancelled %v", len(tokens), acked, cancelled)
 	}
--- a/caller/client.go
+++ b/caller/client.go
@@ -383,13 +383,9 @@
 	}
 }
 
-// send writes a datagram. The first write can fail with the ICMP error of an earlier
-// datagram. To the protocol, a datagram that cannot be written is a lost one.
-func (c *Client) send(b []byte) {
-	if _, err := c.conn.Write(b); err != nil {
-		_, _ = c.conn.Write(b)
-	}
-}
+// send writes a datagram. To the protocol, a datagram that cannot be written is a lost
+// one, so the error is dropped.
+func (c *Client) send(b []byte) { _, _ = c.conn.Write(b) }
 
 func (c *Client) receive() {
 	defer close(c.done)
