Present a permit again when its issuer was not reached

Ruled out: issuing by the holder (each side of the cut has its own), waiting at the ingress (it cannot reach the issuer either). The issuer runs it at most once, however often it is presented, and the fabric delivers each copy elsewhere. The lab uses a source port for each archive: 128,000 messages in 247 s exhausted the IDs of one port and 27,348 transfers failed at once.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -529,3 +529,28 @@
 		}
 	})
 }
+
+// Guards against a request that ends with an unknown outcome because one copy reached
+// an instance that is cut off from the issuer of its permit.
+func TestPermitIsPresentedAgainWhenTheIssuerIsNotReached(t *testing.T) {
+	presented := 0
+	service := newFakeService("udp4", func(m message.Message, reply func(message.Message)) {
+		echo, err := m.Options.GetBytes(message.Echo)
+		switch {
+		case err != nil:
+			reply(piggyback(m, codes.Unauthorized, "", option(message.Echo, []byte("permit")...)))
+		case presented < 3:
+			presented++
+			reply(piggyback(m, codes.GatewayTimeout, "[202] outcome unknown: the issuer cannot be reached"))
+		default:
+			reply(piggyback(m, codes.Changed, string(echo)))
+		}
+	})
+	c := dial(t, fast, service)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := c.Do(ctx, Request{Method: "POST", Path: "/orders", Payload: []byte("tulip")})
+	if err != nil || r.Code != Changed || presented != 3 {
+		t.Errorf("%v, %v after %d presentations without the issuer", r, err, presented)
+	}
+}
--- a/internal/standin/callers/archive.go
+++ b/internal/standin/callers/archive.go
@@ -33,14 +33,16 @@
 		readers.Add(1)
 		go func() {
 			defer readers.Done()
-			client, err := caller.Dial(caller.Config{}, a.load.Address)
-			if err != nil {
-				errs <- err
-				return
-			}
-			defer func() { _ = client.Close() }()
 			for n := 0; ctx.Err() == nil && (a.load.Fetches == 0 || n < a.load.Fetches); n++ {
+				// Each transfer has its own source port: 8 MB take 8,192 message IDs,
+				// and one port has 65,536 in 247 s.
+				client, err := caller.Dial(caller.Config{}, a.load.Address)
+				if err != nil {
+					errs <- err
+					return
+				}
 				a.fetch(ctx, client, a.load.Names[(i+n)%len(a.load.Names)])
+				_ = client.Close()
 			}
 		}()
 	}
