dispatch: requests that may not use a free slot stay queued

Cause: when more than 32 waiting requests could not use the free slot (a probe of an ejected server, a slow server before a deadline), the next ones were refused with 102 although another server could run them in time. Ruled out: a larger limit of held requests, which only moves the fault. Change: such a request goes back to the queue and dispatching stops. 120 is used only while a takeover is pending; a request that was shed excludes its server only if another one is usable.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -215,7 +215,7 @@
 	}
 	if err := s.queue.Offer(now, it, s.estimate(now)); err != nil {
 		refusal := err.(*admission.Refusal)
-		if s.total == 0 {
+		if s.total == 0 && s.takeoverPending() {
 			refusal.Err = errTakeoverPending
 		}
 		return append(out, refuse(&it, refusal.Err, refusal.RetryAfter))
@@ -254,6 +254,16 @@
 	return false
 }
 
+// takeoverPending reports whether a server is not dispatched yet.
+func (s *Scheduler) takeoverPending() bool {
+	for _, v := range s.owned {
+		if v.role != owner {
+			return true
+		}
+	}
+	return false
+}
+
 // estimate describes the present capacity to the queue.
 func (s *Scheduler) estimate(now time.Time) admission.Estimate {
 	if s.total > 0 {
@@ -271,8 +281,8 @@
 			delay = min(delay, s.cfg.HandoverTimeout)
 		case quarantined:
 			delay = min(delay, v.until.Sub(now))
-		case owner: // ejected, between probes
-			delay = min(delay, s.cfg.HandoverTimeout)
+		case owner: // between probes, or after shed answers
+			delay = min(delay, backend.DefaultShedRecovery)
 		}
 	}
 	return admission.Estimate{Rate: rate, Delay: delay, ServiceTime: seconds(s.fastest)}
@@ -300,6 +310,9 @@
 			out = s.grant(out, now, v, it)
 		case possible && len(s.held) < s.cfg.MaxHeld:
 			s.held = append(s.held, held{item: it})
+		case possible:
+			s.queue.Requeue(it)
+			return out
 		default:
 			s.waiting--
 			out = append(out, refuse(&it, errDeadlineUnmet, 0))
@@ -553,7 +566,7 @@
 	}
 	it.Context = it.Context&contextIdempotent | attempts<<attemptShift
 	for i, o := range s.owned {
-		if o == v && len(s.owned) > 1 {
+		if o == v && s.usableServers > 1 {
 			it.Context |= uint64(i+1) << excludeShift
 		}
 	}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -368,6 +368,16 @@
 	if got := show(f.s.Submit(f.now, r)); got != "run 1@b" && got != "run 1@c" {
 		t.Errorf("a non-idempotent request: %q", got)
 	}
+	// Requests that may not use the free slot are not refused for it.
+	for id := uint64(10); id < 80; id++ {
+		r.ID = id
+		for _, a := range f.s.Submit(f.now, r) {
+			if refused, ok := a.(Refuse); ok {
+				t.Fatalf("request %d: %v", id, refused.Err)
+			}
+		}
+	}
+	f.s.refuseWaiting(nil, errCancelled)
 	f.expect(f.submit(2, time.Second), "run 2@a")
 	fail("b")
 	if f.s.total != 3 {
