--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -16,10 +15,7 @@
 	instances := rapid.IntRange(minInstances, 4).Draw(t, "instances")
 	servers := rapid.IntRange(instances, 12).Draw(t, "servers")
 	speeds := rapid.SliceOfN(rapid.Float64Range(1, 8), servers, servers).Draw(t, "speeds")
-	m := newModel(rapid.Uint64().Draw(t, "seed"), instances, speeds, Config{}, PolicySummaries)
-	m.spread(0)
-	m.run(50 * time.Millisecond)
-	return m
+	return newModel(rapid.Uint64().Draw(t, "seed"), instances, speeds, PolicySummaries)
 }
 
 // check fails on what must never happen.
@@ -65,7 +61,7 @@
 func TestSaturationUsesEverySlotWithoutOverrun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawModel(t, 1)
-		m.load(config.Normal, rapid.Float64Range(1.3, 3).Draw(t, "load")*m.capacity(), 50, 2*time.Second, 6*time.Second)
+		m.load(config.Normal, rapid.Float64Range(1.3, 3).Draw(t, "load")*m.capacity(), 0, 50, 2*time.Second, 6*time.Second)
 		m.run(3 * time.Second)
 		if share := m.busyShare(t, 2*time.Second); share < 0.97 {
 			t.Errorf("slots are busy for %.3f of the time, want 0.97", share)
@@ -80,7 +76,7 @@
 func TestTimeoutKeepsTheSlotUntilTheDeadline(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawModel(t, 1)
-		m.load(config.Normal, 1.2*m.capacity(), 50, 300*time.Millisecond, 3*time.Second)
+		m.load(config.Normal, 1.2*m.capacity(), 0, 50, 300*time.Millisecond, 3*time.Second)
 		for range rapid.IntRange(1, 4).Draw(t, "changes") {
 			m.run(rapid.SampledFrom([]time.Duration{100, 300, 700}).Draw(t, "after") * time.Millisecond)
 			b := m.servers[m.svc.BackendServers[m.rng.IntN(len(m.servers))].Name]
@@ -96,7 +92,7 @@
 func TestPlannedTakeoverHasNoOverrun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawModel(t, 2)
-		m.load(config.Normal, rapid.Float64Range(0.5, 2).Draw(t, "load")*m.capacity(), 50, time.Second, 4*time.Second)
+		m.load(config.Normal, rapid.Float64Range(0.5, 2).Draw(t, "load")*m.capacity(), 0, 50, time.Second, 4*time.Second)
 		for range rapid.IntRange(1, 5).Draw(t, "views") {
 			m.run(rapid.SampledFrom([]time.Duration{60, 200, 600}).Draw(t, "after") * time.Millisecond)
 			m.spread(rapid.IntRange(0, 3).Draw(t, "offset"))
@@ -121,7 +117,7 @@
 func TestCrashQuarantinesForTheLongestDeadline(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawModel(t, 2)
-		m.load(config.Normal, 2*m.capacity(), 50, 2*time.Second, 8*time.Second)
+		m.load(config.Normal, 2*m.capacity(), 0, 50, 2*time.Second, 8*time.Second)
 		m.run(time.Second)
 		dead := m.nodes[0]
 		lost := map[string]bool{}
@@ -176,10 +172,10 @@
 func TestLeavingServerGetsNoGrant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawModel(t, 2)
-		m.load(config.Normal, 1.5*m.capacity(), 50, time.Second, 3*time.Second)
+		m.load(config.Normal, 1.5*m.capacity(), 0, 50, time.Second, 3*time.Second)
 		m.run(500 * time.Millisecond)
 		name := m.svc.BackendServers[0].Name
-		owner := m.node(m.owner[name])
+		owner := m.byID[m.owner[name]]
 		late := 0
 		switch source := rapid.IntRange(0, 3).Draw(t, "source"); source {
 		case 0:
@@ -220,9 +216,9 @@
 		for _, b := range m.servers {
 			b.shed = rapid.IntRange(0, 3).Draw(t, "shed") > 0
 		}
-		m.load(config.Normal, rapid.Float64Range(0.05, 0.5).Draw(t, "load")*m.capacity(), 50, time.Second, 3*time.Second)
+		m.load(config.Normal, rapid.Float64Range(0.05, 0.5).Draw(t, "load")*m.capacity(), 0, 50, time.Second, 3*time.Second)
 		m.run(5 * time.Second)
-		first := float64(m.nextID)
+		first := float64(len(m.requests))
 		floor := float64(len(m.nodes)) * (1 + 5*1)
 		if limit := 1.1*first + floor; float64(m.attempts) > limit {
 			t.Errorf("%d attempts for %.0f requests, want at most %.0f", m.attempts, first, limit)
@@ -238,7 +234,7 @@
 		t.Run(fmt.Sprintf("%d instances %d servers", size.instances, size.servers), func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= 9; seed++ {
-				m := newModel(seed, size.instances, speeds8(size.servers), Config{}, PolicySummaries)
+				m := newModel(seed, size.instances, speeds8(size.servers), PolicySummaries)
 				r := m.measure(0.9, 10*time.Second)
 				if x := imbalance(r.utilization); x > 1.05 {
 					t.Errorf("seed %d: imbalance %.3f, want 1.05: %.3f", seed, x, r.utilization)
@@ -269,7 +265,7 @@
 		}
 	}
 	for c, rate := range rates {
-		m.load(config.Class(c), rate, 50, time.Second, settle+d)
+		m.load(config.Class(c), rate, 0, 50, time.Second, settle+d)
 	}
 	m.run(settle + d + 3*time.Second)
 	m.done = nil
@@ -288,9 +284,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= 3; seed++ {
-				m := newModel(seed, 2, speeds8(12), Config{}, PolicySummaries)
-				m.spread(0)
-				m.run(50 * time.Millisecond)
+				m := newModel(seed, 2, speeds8(12), PolicySummaries)
 				var rates classRates
 				for c := range rates {
 					rates[c] = base[c] * m.capacity()
@@ -321,37 +315,23 @@
 
 // Guards against a caller that floods its own class: the others keep their goodput.
 func TestCallersOfAClassAreTreatedFairly(t *testing.T) {
-	const light = 20
+	const light, flooding = 20, 100
 	for seed := uint64(1); seed <= 3; seed++ {
-		m := newModel(seed, 2, speeds8(8), Config{}, PolicySummaries)
-		m.spread(0)
-		m.run(50 * time.Millisecond)
-		done := [light + 1]float64{}
-		sent := [light + 1]float64{}
+		m := newModel(seed, 2, speeds8(8), PolicySummaries)
+		done, sent := map[uint64]float64{}, map[uint64]float64{}
 		m.done = func(r *modelRequest) {
 			if r.finished {
 				done[r.CallerHash]++
 			}
 		}
 		rate := m.capacity() / (light + 1) * 0.8
-		for caller := range uint64(light + 1) {
-			r := rate
-			if caller == light {
-				r *= 40
-			}
-			end := m.now.Add(6 * time.Second)
-			var next func()
-			next = func() {
-				if m.now.Before(end) {
-					m.submit(config.Normal, caller, time.Second)
-					sent[caller]++
-					m.after(time.Duration(m.rng.ExpFloat64()/r*float64(time.Second)), next)
-				}
-			}
-			m.after(time.Duration(rand.New(rand.NewPCG(seed, caller)).IntN(100))*time.Millisecond, next)
-		}
+		m.load(config.Normal, light*rate, 0, light, time.Second, 6*time.Second)
+		m.load(config.Normal, 40*rate, flooding, 1, time.Second, 6*time.Second)
 		m.run(9 * time.Second)
-		for caller := range light {
+		for _, r := range m.requests {
+			sent[r.CallerHash]++
+		}
+		for caller := range uint64(light) {
 			if done[caller] < 0.95*sent[caller] {
 				t.Errorf("seed %d: caller %d finished %.0f of %.0f requests beside a flooding caller", seed, caller, done[caller], sent[caller])
 			}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -29,8 +29,9 @@
 func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
 func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
 func (h *eventHeap) Pop() any {
-	e := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
 	return e
 }
 
@@ -40,23 +41,20 @@
 	rng      *rand.Rand
 	events   eventHeap
 	seq      int
-	latency  time.Duration
 	svc      config.Service
 	nodes    []*node
+	byID     map[string]*node
 	servers  map[string]*modelServer
 	owner    map[string]string // server -> instance
 	view     uint64
 	requests map[uint64]*modelRequest
-	nextID   uint64
 	overruns int
 	falsely  int // refused as not run, but executed
 	attempts int
-	refusals map[result.Code]int
+	reported map[string]int // Event name -> count
+	retry    bool           // callers repeat a refused request once
 	done     func(*modelRequest)
 	granted  func(server string) // observes each Run
-	reported map[string]int      // Event name -> count
-	// retry, if set, makes callers repeat a refused request once.
-	retry bool
 }
 
 type node struct {
@@ -69,34 +67,34 @@
 
 // modelServer executes requests; its service time is the request's demand over speed.
 type modelServer struct {
-	cfg      config.BackendServer
-	speed    float64
-	hang     bool // accepts, but does not answer
-	shed     bool
-	running  int
-	executed int
-	busy     time.Duration
+	cfg        config.BackendServer
+	speed      float64
+	hang, shed bool // accepts and does not answer; refuses
+	running    int
+	busy       time.Duration
 }
 
 type modelRequest struct {
 	Request
-	entry    *node
-	sent     time.Time
-	executed int
-	started  time.Time
-	finished bool // answered with success
-	refused  bool
-	server   string
-	tried    []string
+	entry         *node
+	sent, started time.Time
+	executed      int
+	finished      bool // answered with success
+	tried         []string
 }
 
-const meanDemand = 80 * time.Millisecond // at speed 1
+const (
+	meanDemand = 80 * time.Millisecond // at speed 1
+	latency    = time.Millisecond
+	// transit is the mean time that a slot is busy while the request or its answer is
+	// on the way.
+	transit = latency * 5 / 2
+)
 
-func newModel(seed uint64, instances int, speeds []float64, cfg Config, policy Policy) *model {
+func newModel(seed uint64, instances int, speeds []float64, policy Policy) *model {
 	m := &model{
-		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), latency: time.Millisecond,
-		servers: map[string]*modelServer{}, owner: map[string]string{}, requests: map[uint64]*modelRequest{},
-		refusals: map[result.Code]int{}, reported: map[string]int{},
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*node{},
+		servers: map[string]*modelServer{}, requests: map[uint64]*modelRequest{}, reported: map[string]int{},
 		svc: config.Service{ID: 1, Name: "s", MaxDeadline: 4000, MinShares: [config.NumClasses]uint32{0, 30, 10}},
 	}
 	for i, speed := range speeds {
@@ -105,22 +103,16 @@
 		m.svc.BackendServers = append(m.svc.BackendServers, b)
 	}
 	for i := range instances {
-		n := &node{m: m, id: fmt.Sprintf("i%d", i)}
-		n.sched = NewScheduler(cfg, m.svc, m.now)
-		n.chooser = NewChooser(ChooserConfig{Policy: policy}, rand.New(rand.NewPCG(seed, uint64(i+2))))
+		n := &node{m: m, id: fmt.Sprintf("i%d", i), sched: NewScheduler(Config{}, m.svc, m.now),
+			chooser: NewChooser(ChooserConfig{Policy: policy}, rand.New(rand.NewPCG(seed, uint64(i+2))))}
 		m.nodes = append(m.nodes, n)
-	}
-	m.every(10*time.Millisecond, func() {
-		for _, n := range m.nodes {
-			if !n.dead {
-				n.do(n.sched.Tick(m.now))
-			}
-		}
-	})
-	for _, n := range m.nodes {
+		m.byID[n.id] = n
+		m.every(10*time.Millisecond, func() { n.alive(func() { n.do(n.sched.Tick(m.now)) }) })
 		// The timers of the instances are not in phase.
 		m.after(time.Duration(m.rng.IntN(100))*time.Millisecond, func() { m.every(100*time.Millisecond, n.sendSummary) })
 	}
+	m.spread(0)
+	m.run(50 * time.Millisecond)
 	return m
 }
 
@@ -135,7 +127,7 @@
 
 func (m *model) run(d time.Duration) {
 	end := m.now.Add(d)
-	for len(m.events) > 0 && !m.events[0].at.After(end) {
+	for !m.events[0].at.After(end) {
 		e := heap.Pop(&m.events).(event)
 		m.now = e.at
 		e.run()
@@ -143,46 +135,31 @@
 	m.now = end
 }
 
-// sendSummary sends the summary to all instances.
-func (n *node) sendSummary() {
-	if n.dead {
-		return
-	}
-	sum := n.sched.Summary(n.m.now)
-	for _, to := range n.m.nodes {
-		n.m.after(n.m.latency, func() { to.chooser.Observe(n.m.now, n.id, sum) })
-	}
-}
-
 // assign changes the view: the owner of each server. Previous is the present owner.
 func (m *model) assign(owners map[string]string) {
 	m.view++
-	ids := make([]string, 0, len(m.nodes))
-	for _, n := range m.nodes {
-		if !n.dead {
-			ids = append(ids, n.id)
+	version, old := m.view, m.owner
+	m.owner = owners
+	var ids []string
+	lists := map[*node][]Assignment{}
+	for _, b := range m.svc.BackendServers {
+		a := Assignment{Server: m.servers[b.Name].cfg, Previous: old[b.Name]}
+		if a.Previous == owners[b.Name] {
+			a.Previous = ""
 		}
+		n := m.byID[owners[b.Name]]
+		lists[n] = append(lists[n], a)
 	}
-	old := m.owner
-	m.owner = owners
 	for _, n := range m.nodes {
-		var list []Assignment
-		for _, b := range m.svc.BackendServers {
-			if owners[b.Name] == n.id {
-				previous := old[b.Name]
-				if previous == n.id {
-					previous = ""
-				}
-				list = append(list, Assignment{Server: m.servers[b.Name].cfg, Previous: previous})
-			}
+		if !n.dead {
+			ids = append(ids, n.id)
 		}
-		version := m.view
 		// Views arrive at different times.
 		m.after(time.Duration(m.rng.IntN(20))*time.Millisecond, func() {
-			if !n.dead {
-				n.do(n.sched.SetOwned(m.now, list, version))
+			n.alive(func() {
+				n.do(n.sched.SetOwned(m.now, lists[n], version))
 				n.chooser.SetCandidates(m.svc.ID, ids)
-			}
+			})
 		})
 	}
 }
@@ -190,25 +167,25 @@
 // spread assigns the servers to the live instances in turn, from an offset on.
 func (m *model) spread(offset int) {
 	owners := map[string]string{}
-	var live []*node
-	for _, n := range m.nodes {
-		if !n.dead {
-			live = append(live, n)
-		}
-	}
+	live := slices.DeleteFunc(slices.Clone(m.nodes), func(n *node) bool { return n.dead })
 	for i, b := range m.svc.BackendServers {
 		owners[b.Name] = live[(i+offset)%len(live)].id
 	}
 	m.assign(owners)
 }
 
-func (m *model) node(id string) *node {
-	for _, n := range m.nodes {
-		if n.id == id {
-			return n
-		}
+func (n *node) alive(f func()) {
+	if !n.dead {
+		f()
+	}
+}
+
+// sendSummary sends the summary to all instances.
+func (n *node) sendSummary() {
+	sum := n.sched.Summary(n.m.now)
+	for _, to := range n.m.nodes {
+		n.m.after(latency, func() { n.alive(func() { to.chooser.Observe(n.m.now, n.id, sum) }) })
 	}
-	return nil
 }
 
 // do performs the actions of a scheduler.
@@ -222,216 +199,187 @@
 				m.granted(a.Server.Name)
 			}
 			// The path of a request is not always equally fast.
-			m.after(m.latency+time.Duration(m.rng.IntN(int(m.latency))), func() { m.arrive(n, a) })
+			m.after(latency+time.Duration(m.rng.IntN(int(latency))), func() { m.arrive(n, a) })
 		case Refuse:
-			m.after(m.latency, func() { m.refused(n, a) })
+			m.after(latency, func() { m.refused(n, a) })
 		case Event:
 			m.reported[a.Name]++
 		case AskHandover:
-			to := m.node(a.To)
-			m.after(m.latency, func() {
-				if to == nil || to.dead {
-					return
-				}
-				acts, reply := to.sched.HandoverRequest(m.now, n.id, a.Servers)
-				to.do(acts)
-				m.after(m.latency, func() { n.alive(func() { n.do(n.sched.HandoverReply(m.now, to.id, reply)) }) })
+			to := m.byID[a.To]
+			m.after(latency, func() {
+				to.alive(func() {
+					acts, reply := to.sched.HandoverRequest(m.now, n.id, a.Servers)
+					to.do(acts)
+					m.after(latency, func() { n.alive(func() { n.do(n.sched.HandoverReply(m.now, to.id, reply)) }) })
+				})
 			})
 		case SendHandoverDone:
-			to := m.node(a.To)
-			m.after(m.latency, func() { to.alive(func() { to.do(to.sched.HandoverDone(m.now, a.Server, a.Ended)) }) })
+			to := m.byID[a.To]
+			m.after(latency, func() { to.alive(func() { to.do(to.sched.HandoverDone(m.now, a.Server, a.Ended)) }) })
 		}
 	}
 }
 
-func (n *node) alive(f func()) {
-	if n != nil && !n.dead {
-		f()
-	}
-}
-
 // arrive executes a request at a backend server.
 func (m *model) arrive(n *node, a Run) {
-	b := m.servers[a.Server.Name]
-	r := m.requests[a.Request.ID]
-	finish := func(after time.Duration, o backend.Outcome, f func()) {
-		sent := m.now.Add(-m.latency)
-		m.after(after+m.latency, func() {
-			n.alive(func() { f(); n.do(n.sched.Finish(m.now, a.Grant, o, m.now.Sub(sent))) })
+	b, r := m.servers[a.Server.Name], m.requests[a.Request.ID]
+	sent := m.now.Add(-latency)
+	finish := func(after time.Duration, o backend.Outcome) {
+		m.after(after+latency, func() {
+			n.alive(func() {
+				if o == backend.Success {
+					r.finished = true
+					m.answered(n, r)
+				}
+				n.do(n.sched.Finish(m.now, a.Grant, o, m.now.Sub(sent)))
+			})
 		})
 	}
-	if b.running >= b.cfg.Slots {
+	full := b.running >= b.cfg.Slots
+	if full {
 		m.overruns++
 	}
-	if b.shed || b.running >= b.cfg.Slots {
-		finish(0, backend.Shed, func() {})
+	if b.shed || full {
+		finish(0, backend.Shed)
 		return
 	}
 	b.running++
-	b.executed++
 	r.executed++
-	r.started, r.server = m.now, a.Server.Name
+	r.started = m.now
 	left := a.Request.Deadline.Sub(m.now)
-	demand := time.Duration(m.rng.ExpFloat64() * float64(meanDemand) / 2)
-	took := time.Duration(float64(demand+meanDemand/2) / b.speed)
+	demand := meanDemand/2 + time.Duration(m.rng.ExpFloat64()*float64(meanDemand)/2)
+	took, ends := time.Duration(float64(demand)/b.speed), time.Duration(0)
 	if b.hang || took >= left {
 		// The server abandons the request at its deadline, counted from its receipt.
-		m.after(left+m.latency, func() { b.running--; b.busy += left })
-		finish(left-2*m.latency, backend.Timeout, func() {})
-		return
+		took, ends = left, latency
+		finish(left-2*latency, backend.Timeout)
+	} else {
+		finish(took, backend.Success)
 	}
-	m.after(took, func() { b.running--; b.busy += took })
-	finish(took, backend.Success, func() {
-		r.finished = true
-		sum := n.sched.Summary(m.now)
-		m.after(m.latency, func() {
-			r.entry.chooser.Observe(m.now, n.id, sum)
-			if m.done != nil {
-				m.done(r)
-			}
-		})
+	m.after(took+ends, func() { b.running--; b.busy += took })
+}
+
+// answered delivers an answer with a summary to the entry instance.
+func (m *model) answered(n *node, r *modelRequest) {
+	sum := n.sched.Summary(m.now)
+	m.after(latency, func() {
+		r.entry.chooser.Observe(m.now, n.id, sum)
+		if m.done != nil {
+			m.done(r)
+		}
 	})
 }
 
 func (m *model) refused(n *node, a Refuse) {
 	r := m.requests[a.ID]
-	m.refusals[a.Err.Code]++
 	if a.Err.Code.NotRun() && r.executed > 0 {
 		m.falsely++
 	}
-	r.entry.chooser.Observe(m.now, n.id, n.sched.Summary(m.now))
 	elsewhere := a.Err.Code == result.NotDispatcher || a.Err.Code == result.TakeoverPending
 	if (elsewhere || m.retry && !r.Retry) && len(r.tried) < len(m.nodes) {
 		r.Retry = r.Retry || !elsewhere
 		m.send(r)
 		return
 	}
-	r.refused = true
-	if m.done != nil {
-		m.done(r)
-	}
+	m.answered(n, r)
 }
 
 // submit sends a new request from a random entry instance.
-func (m *model) submit(class config.Class, caller uint64, deadline time.Duration) *modelRequest {
-	m.nextID++
+func (m *model) submit(class config.Class, caller uint64, deadline time.Duration) {
 	r := &modelRequest{sent: m.now, Request: Request{Idempotent: true, Item: admission.Item{
-		ID: m.nextID, Class: class, CallerHash: caller, Deadline: m.now.Add(deadline), Arrived: m.now,
+		ID: uint64(len(m.requests)), Class: class, CallerHash: caller, Deadline: m.now.Add(deadline), Arrived: m.now,
 	}}}
 	for r.entry == nil || r.entry.dead {
 		r.entry = m.nodes[m.rng.IntN(len(m.nodes))]
 	}
 	m.requests[r.ID] = r
 	m.send(r)
-	return r
 }
 
 func (m *model) send(r *modelRequest) {
-	id, ok := r.entry.chooser.Choose(m.now, m.svc.ID, r.tried)
-	if !ok {
-		r.refused = true
-		return
+	if id, ok := r.entry.chooser.Choose(m.now, m.svc.ID, r.tried); ok {
+		r.entry.chooser.Sent(m.svc.ID, id)
+		r.tried = append(r.tried, id)
+		to := m.byID[id]
+		m.after(latency, func() { to.alive(func() { to.do(to.sched.Submit(m.now, r.Request)) }) })
 	}
-	r.entry.chooser.Sent(m.svc.ID, id)
-	r.tried = append(r.tried, id)
-	to := m.node(id)
-	m.after(m.latency, func() { to.alive(func() { to.do(to.sched.Submit(m.now, r.Request)) }) })
 }
 
-// load submits requests at random times with the given mean rate until the time.
-func (m *model) load(class config.Class, rate float64, callers int, deadline, until time.Duration) {
+// load submits requests at random times with the given mean rate until the time, from
+// callers that are numbered from first on.
+func (m *model) load(class config.Class, rate float64, first, callers uint64, deadline, until time.Duration) {
 	end := m.now.Add(until)
 	var next func()
 	next = func() {
-		if m.now.After(end) {
-			return
+		if m.now.Before(end) {
+			m.submit(class, first+m.rng.Uint64N(callers), deadline)
+			m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
 		}
-		m.submit(class, uint64(m.rng.IntN(callers))*0x9e3779b97f4a7c15+1, deadline)
-		m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	m.after(0, next)
 }
 
-// transit is the mean time that a slot is busy while the request or its answer is on
-// the way.
-func (m *model) transit() time.Duration { return m.latency * 5 / 2 }
-
 // capacity returns the requests per second that all slots complete.
-func (m *model) capacity() float64 {
-	total := 0.0
+func (m *model) capacity() (total float64) {
 	for _, c := range m.svc.BackendServers {
-		b := m.servers[c.Name]
-		service := meanDemand.Seconds()/b.speed + m.transit().Seconds()
-		total += float64(b.cfg.Slots) / service
+		total += float64(c.Slots) / (meanDemand.Seconds()/m.servers[c.Name].speed + transit.Seconds())
 	}
 	return total
 }
 
-// utilization runs for d and returns the busy share of each server's slots.
-func (m *model) utilization(d time.Duration) []float64 {
+// measurement is what one run at a constant load gave.
+type measurement struct {
+	utilization []float64 // busy share of each server's slots
+	p99Wait     time.Duration
+	refused     int
+}
+
+// measure loads the model with the share of its capacity, and measures for d after
+// 4 s in which the service times are learned.
+func (m *model) measure(share float64, d time.Duration) (r measurement) {
+	const warmUp = 4 * time.Second
+	m.load(config.Normal, share*m.capacity(), 0, 100, 4*time.Second, warmUp+d)
+	m.run(warmUp)
+	var waits []time.Duration
+	m.done = func(q *modelRequest) {
+		if q.finished {
+			waits = append(waits, q.started.Sub(q.sent))
+		} else {
+			r.refused++
+		}
+	}
 	before := map[string]time.Duration{}
 	for name, b := range m.servers {
 		before[name] = b.busy
 	}
 	m.run(d)
-	var u []float64
 	for _, c := range m.svc.BackendServers {
 		b := m.servers[c.Name]
-		// The slot's share of the latency counts as capacity that cannot be used.
+		// The time in transit is no capacity.
 		service := meanDemand.Seconds() / b.speed
-		usable := service / (service + m.transit().Seconds())
-		u = append(u, (b.busy-before[c.Name]).Seconds()/(d.Seconds()*float64(b.cfg.Slots)*usable))
+		capacity := d.Seconds() * float64(c.Slots) * service / (service + transit.Seconds())
+		r.utilization = append(r.utilization, (b.busy-before[c.Name]).Seconds()/capacity)
 	}
-	return u
+	slices.Sort(waits)
+	r.p99Wait = waits[len(waits)*99/100]
+	return r
 }
 
 // imbalance is max / mean.
 func imbalance(u []float64) float64 { return slices.Max(u) / mean(u) }
 
-func mean(u []float64) float64 {
-	sum := 0.0
+func mean(u []float64) (m float64) {
 	for _, x := range u {
-		sum += x
+		m += x / float64(len(u))
 	}
-	return sum / float64(len(u))
+	return m
 }
 
 // speeds8 are n speeds from 1 to 8.
 func speeds8(n int) []float64 {
 	s := make([]float64, n)
 	for i := range s {
-		s[i] = 1 + 7*float64(i)/float64(max(n-1, 1))
+		s[i] = 1 + 7*float64(i)/float64(n-1)
 	}
 	return s
 }
-
-// measurement is what one run at a constant load gave.
-type measurement struct {
-	utilization []float64
-	p99Wait     time.Duration
-	refused     int
-}
-
-// measure loads the model with the share of its capacity, and measures for d after
-// 4 s in which the service times are learned.
-func (m *model) measure(share float64, d time.Duration) measurement {
-	const warmUp = 4 * time.Second
-	m.spread(0)
-	m.run(100 * time.Millisecond)
-	m.load(config.Normal, share*m.capacity(), 100, 4*time.Second, warmUp+d)
-	m.run(warmUp)
-	var waits []time.Duration
-	var r measurement
-	m.done = func(q *modelRequest) {
-		if q.finished {
-			waits = append(waits, q.started.Sub(q.sent))
-		} else {
-			r.refused++
-		}
-	}
-	r.utilization = m.utilization(d)
-	m.done = nil
-	slices.Sort(waits)
-	r.p99Wait = waits[len(waits)*99/100]
-	return r
-}
