dispatch: exact counts through repeated handovers

Cause: a request that expired at the new dispatcher was counted off a second time when the old one reported its end, so one slot was used twice. A server that came back to the instance that had handed it over was counted with that instance's own requests. Ruled out: reporting only ends before the deadline (links can be late). Change: an end that is reported counts first for one that expired; an instance that takes a server back keeps its own count.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -825,7 +825,7 @@
 	}
 	v.limit, v.free, v.rate = limit, free, rate
 	s.ready.update(v)
-	if !v.watched && (len(v.foreign) > 0 || v.life.Unsettled()) {
+	if !v.watched && v.role != released && (len(v.foreign) > 0 || v.life.Unsettled()) {
 		v.watched = true
 		s.watch = append(s.watch, v)
 	}
@@ -845,7 +845,7 @@
 	rate, busy, fastest, total, free, running := 0.0, 0.0, math.Inf(1), 0, 0, 0
 	for name, v := range s.servers {
 		running += v.running
-		if !v.assigned && v.occupied() == 0 && !v.watched && now.Sub(v.lostAt) > releasedMemory+s.svc.MaxDeadline.Duration() {
+		if !v.assigned && v.running == 0 && !v.watched && now.Sub(v.lostAt) > releasedMemory+s.svc.MaxDeadline.Duration() {
 			delete(s.servers, name)
 		}
 	}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -31,6 +31,7 @@
 	seen    backend.State // state at the last refresh
 	running int           // own requests that occupy a slot
 	foreign []time.Time   // deadlines of the previous dispatcher's requests, earliest first
+	expired int           // foreign requests that expired and were not reported as ended
 	limit   int
 	free    int
 	rate    float64
@@ -44,6 +45,8 @@
 	assigned bool   // in the last SetOwned
 	fenced   bool   // ownership was given up by Fence
 	previous string // whom to ask
+	source   string // who handed over the foreign requests
+	returned bool   // asking the instance to which this one handed the server over
 	takenBy  string // to whom the server was handed over
 	acquired time.Time
 	askAgain time.Time
@@ -62,24 +65,36 @@
 // server, because it most likely fails.
 func (v *server) idempotentOnly() bool { return v.life.State() == backend.Out && !v.panicking }
 
-// expireForeign removes requests whose deadline has passed.
+// expireForeign removes requests whose deadline has passed. After another handover
+// the new dispatcher does that.
 func (v *server) expireForeign(now time.Time) {
+	if v.role == released {
+		return
+	}
 	n := 0
 	for n < len(v.foreign) && !now.Before(v.foreign[n]) {
 		n++
 	}
 	v.foreign = v.foreign[n:]
+	v.expired += n
 }
 
-// endForeign removes requests that have ended. Which ones is unknown, so those with
-// the latest deadlines stay.
-func (v *server) endForeign(ended int) {
-	v.foreign = v.foreign[min(ended, len(v.foreign)):]
+// endForeign removes requests that the previous dispatcher reports as ended, and
+// returns how many of them it had not removed before. Which ones have ended is unknown,
+// so those with the latest deadlines stay, and a report counts for one that expired if
+// there is any.
+func (v *server) endForeign(ended int) int {
+	known := min(ended, v.expired)
+	v.expired -= known
+	ended = min(ended-known, len(v.foreign))
+	v.foreign = v.foreign[ended:]
+	return ended
 }
 
-func (v *server) setForeign(deadlines []time.Time) {
+// setForeign replaces the requests of the previous dispatcher.
+func (v *server) setForeign(deadlines []time.Time, source string) {
 	slices.SortFunc(deadlines, time.Time.Compare)
-	v.foreign = deadlines
+	v.foreign, v.expired, v.source = deadlines, 0, source
 }
 
 // freeHeap orders the servers with a free slot by busy.
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -103,6 +103,7 @@
 	if previous == "" {
 		previous = v.takenBy // the instance to which this one handed it over
 	}
+	v.returned = v.takenBy != "" && previous == v.takenBy
 	v.previous, v.takenBy, v.acquired = previous, "", now
 	died, dead := s.dead[previous]
 	switch {
@@ -161,6 +162,9 @@
 			continue // was_owner false: the count here is not the whole count
 		}
 		h.WasOwner = true
+		if from == v.source {
+			v.setForeign(nil, "") // they are known to the instance that asks
+		}
 		h.Running = s.runningRequests(now, v)
 		h.ServiceTimeUs = uint32(v.life.ServiceTime().Microseconds())
 		h.State = uint32(v.life.State())
@@ -214,7 +218,10 @@
 			left := time.Duration(r.DeadlineMs) * time.Millisecond
 			deadlines = append(deadlines, now.Add(left+s.cfg.DeadlineGrace))
 		}
-		v.setForeign(deadlines)
+		if v.returned {
+			deadlines = append(deadlines, v.foreign...) // kept since the handover to that instance
+		}
+		v.setForeign(deadlines, from)
 		v.life.Seed(time.Duration(h.ServiceTimeUs) * time.Microsecond)
 		if backend.State(h.State) == backend.Draining {
 			out = append(out, s.Leave(now, h.Server, backend.NoticeHealth)...)
@@ -227,13 +234,12 @@
 // HandoverDone records that requests of the previous dispatcher have ended.
 func (s *Scheduler) HandoverDone(now time.Time, name string, ended uint32) []Action {
 	v := s.servers[name]
-	if v == nil || ended == 0 || len(v.foreign) == 0 {
+	if v == nil {
 		return nil
 	}
-	v.endForeign(int(ended))
 	var out []Action
-	if v.role == released && v.takenBy != "" {
-		out = append(out, SendHandoverDone{To: v.takenBy, Server: name, Ended: ended})
+	if n := v.endForeign(int(ended)); n > 0 && v.role == released && v.takenBy != "" {
+		out = append(out, SendHandoverDone{To: v.takenBy, Server: name, Ended: uint32(n)})
 	}
 	return s.settle(out, now, v)
 }
@@ -279,7 +285,7 @@
 	for _, v := range s.owned {
 		switch {
 		case v.role == quarantined && !now.Before(v.until):
-			v.foreign = nil
+			v.setForeign(nil, "")
 			out = s.own(out, now, v, "quarantine")
 		case v.role == asking && now.Sub(v.acquired) >= time.Duration(s.cfg.HandoverTries)*s.cfg.HandoverTimeout:
 			out = s.quarantine(out, now, v, now, "no_answer")
