Refuse queued requests before their deadline passes

Ruled out: lost answers (the dispatcher's refusals arrived late, code 102). Change: the queue refuses when the fastest server could no longer finish in time. Conclusion: callers learn in time that the request did not run.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -670,9 +670,14 @@
 	return out
 }
 
-// expire refuses the waiting requests whose deadline has passed.
+// answerMargin is the time that a refusal needs to reach the caller before the deadline.
+const answerMargin = 20 * time.Millisecond
+
+// expire refuses the waiting requests whose deadline can no longer be met. Refused at
+// the deadline itself, they ended without an answer at the caller: 29% of a flood of
+// bulk requests in lab run flood-least-urgent.
 func (s *Scheduler) expire(out []Action, now time.Time) []Action {
-	for _, it := range s.queue.Expire(now) {
+	for _, it := range s.queue.Expire(now.Add(seconds(s.fastest) + answerMargin)) {
 		s.waiting--
 		out = append(out, refuse(&it, errDeadlineUnmet, s.retryAfter()))
 	}
