Ignore impossible incarnations, and test arbitrary messages and shared views

Ruled out: validation against the wall clock; clocks of peers may be wrong. Change: incarnations above 1<<62 are ignored, a dead entry does not move an instance; two tests. Conclusion: messages of a faulty peer cannot lower an incarnation or crash a machine.

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -500,6 +500,65 @@
 	}
 }
 
+// Guards against messages of a faulty or newer peer that crash a machine, lower its own
+// incarnation or take it out of its own view.
+func TestArbitraryMessages(t *testing.T) {
+	names := rapid.SampledFrom([]string{"", "dom00", "dom01", "dom00-00", "dom00-01", "dom01-00", "other"})
+	numbers := rapid.OneOf(rapid.Uint64Range(0, 3), rapid.Uint64Range(1_699_999_999_999, 1_700_000_000_003), rapid.Uint64())
+	members := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *peerpb.Member {
+		return &peerpb.Member{Id: names.Draw(t, "id"), Domain: names.Draw(t, "domain"), PeerAddress: names.Draw(t, "address"),
+			Weight: uint32(numbers.Draw(t, "weight")), Incarnation: numbers.Draw(t, "incarnation"),
+			State: uint32(rapid.IntRange(0, 16).Draw(t, "state")), ConfigVersion: numbers.Draw(t, "config")}
+	}), 0, 4)
+	rapid.Check(t, func(rt *rapid.T) {
+		n := newNetwork(rt, 1, 2, 2)
+		n.hintAll()
+		n.run(time.Second)
+		nd := n.nodes[0]
+		for range rapid.IntRange(1, 20).Draw(rt, "messages") {
+			msg := &peerpb.Membership{Kind: uint32(rapid.IntRange(0, 11).Draw(rt, "kind")), Seq: numbers.Draw(rt, "seq"),
+				Target: names.Draw(rt, "target"), Updates: members.Draw(rt, "updates"), ConfigVersion: numbers.Draw(rt, "config")}
+			for range rapid.IntRange(0, 3).Draw(rt, "domains") {
+				msg.Domains = append(msg.Domains, &peerpb.DomainSummary{Name: names.Draw(rt, "name"),
+					Version: numbers.Draw(rt, "version"), Members: members.Draw(rt, "members")})
+			}
+			before := nd.self.Incarnation
+			n.call(nd, func() []Action { return nd.Receive(n.now, names.Draw(rt, "from"), msg) })
+			n.run(50 * time.Millisecond)
+			if e, ok := nd.View().Member("dom00-00"); !ok || e.Incarnation < before || e.State != Alive {
+				rt.Fatalf("own entry is %v (%v) after incarnation %d", e, ok, before)
+			}
+		}
+	})
+}
+
+// Guards against a view that changes while other goroutines read it (race detector).
+func TestViewIsImmutable(t *testing.T) {
+	n := newNetwork(t, 29, 2, 6)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	for i := range 20 {
+		v := n.nodes[0].View()
+		entry, _ := v.Member("dom01-03")
+		done := make(chan bool)
+		go func() {
+			same := true
+			for key := range uint64(2000) {
+				v.Holder(key)
+				e, ok := v.Member("dom01-03")
+				same = same && ok && e == entry
+			}
+			done <- same
+		}()
+		n.nodes[9].SetConfigVersion(uint64(i + 1))
+		n.nodes[9].paused = i%4 > 1
+		n.run(time.Second)
+		if !<-done {
+			t.Fatal("an old view has changed")
+		}
+	}
+}
+
 // Guards against lookups that are inconsistent with each other or between instances.
 func TestLookupsAgree(t *testing.T) {
 	n := newNetwork(t, 25, 3, 5)
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -18,10 +18,14 @@
 // maxNameLen bounds IDs, domain names and addresses that peers can make a machine store.
 const maxNameLen = 255
 
+// maxIncarnation leaves room for counting up; milliseconds of wall time are below 1<<48.
+const maxIncarnation = 1 << 62
+
 // merge applies an update. For one incarnation the worst rank wins, and a higher
 // incarnation replaces everything, so that the order of updates does not matter.
 func (m *Machine) merge(now time.Time, u *peerpb.Member, src source) {
-	if len(u.GetId()) > maxNameLen || len(u.GetDomain()) > maxNameLen || len(u.GetPeerAddress()) > maxNameLen {
+	if len(u.GetId()) > maxNameLen || len(u.GetDomain()) > maxNameLen || len(u.GetPeerAddress()) > maxNameLen ||
+		u.GetIncarnation() > maxIncarnation {
 		return
 	}
 	switch u.GetId() {
@@ -55,7 +59,7 @@
 
 // moved reports that an instance was started again in another domain.
 func (m *Machine) moved(mb *member, u *peerpb.Member) bool {
-	return u.GetPeerAddress() != "" && u.GetIncarnation() > mb.Incarnation && m.domainOf(u) != mb.d.name
+	return u.GetPeerAddress() != "" && wireRankOf(u) != rankDead && u.GetIncarnation() > mb.Incarnation && m.domainOf(u) != mb.d.name
 }
 
 // domainOf returns the domain of an update, which is left out for the own domain.
