Take back streams whose handover was not confirmed; tell the flow table of changes

Cause: a stream handed over to an instance that died before it confirmed was dropped after 3 s, and the new flow table looks for other holders only when it is told of changes. Ruled out: keeping both holders (two sources would share one sequence). Change: an unconfirmed stream is registered again and planned anew; a member that returns with weight 0 is a new process, so its streams and servers are taken over.

--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -345,6 +345,7 @@
 		d.event("backend_server_state", timeline.Field{Key: logging.Server, Value: st.Name}, timeline.Field{Key: logging.State, Value: st.State})
 		notice := &peerpb.ServerNotice{Server: st.Name, Available: serverAvailable(st.State), Draining: st.State == backend.Draining.String()}
 		d.notices.set(notice)
+		d.flows.Replan()
 		d.broadcast(func() *peerpb.Envelope {
 			return &peerpb.Envelope{Body: &peerpb.Envelope_ServerNotice{ServerNotice: notice}}
 		})
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -121,6 +121,19 @@
 	old.done <- nil // for the cleanup
 }
 
+// crash ends an instance without any word to its peers, as SIGKILL does: its sockets
+// close and nothing is handed over. The list and the fabric notice at once.
+func (d *deployment) crash(id string) {
+	in := d.instances[id]
+	delete(d.instances, id)
+	in.fabric.Close()
+	in.peers.Close()
+	in.grpc.Stop()
+	in.backends.close()
+	d.fabric.RemoveInstance(id)
+	d.list.RemoveInstance(id)
+}
+
 // background repeats f until the returned function is called, which waits for the
 // last call.
 func background(f func(round int)) (stop func()) {
@@ -161,3 +174,66 @@
 		t.Errorf("%d orders refused and %d with an unknown outcome in a planned replacement", refused, unknown)
 	}
 }
+
+// watch opens n streams over the two services and returns their clients' streams.
+func (d *deployment) watch(n int) []*caller.Stream {
+	d.t.Helper()
+	streams := make([]*caller.Stream, n)
+	for i := range streams {
+		service := d.config.Services[i%2].Name
+		c, err := caller.Dial(caller.Config{}, d.address(service))
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		d.t.Cleanup(func() { c.Close() })
+		ctx, cancel := context.WithCancel(context.Background()) // ends the stream
+		d.t.Cleanup(cancel)
+		ticks := &tickCheck{t: d.t, name: fmt.Sprint(service, "/", i)}
+		if streams[i], err = c.Observe(ctx, fmt.Sprintf("/%s/watch/item-%d", service, i), ticks.notified); err != nil {
+			d.t.Fatalf("stream %d: %v", i, err)
+		}
+	}
+	return streams
+}
+
+// tickCheck checks that the states of a stream never step back.
+type tickCheck struct {
+	t    *testing.T
+	name string
+	last int64
+}
+
+func (c *tickCheck) notified(n caller.Notification) {
+	_, tick, err := backendserver.ParseStreamPayload(string(n.Payload))
+	if err != nil {
+		c.t.Errorf("%s: %v", c.name, err)
+		return
+	}
+	if tick < c.last {
+		c.t.Errorf("%s stepped back from %d to %d", c.name, c.last, tick)
+	}
+	c.last = tick
+}
+
+// Guards against a planned replacement or the crash of an instance that ends a stream.
+func TestStreamsSurviveReplacementAndCrash(t *testing.T) {
+	d := newDeployment(t)
+	d.startAll()
+	streams := d.watch(60)
+	time.Sleep(3 * time.Second) // records older than 2 s are copied
+	d.replace("entry-0", "entry-8", "laval", 100)
+	d.crash("entry-1")
+	time.Sleep(4 * time.Second)
+	for i, s := range streams {
+		if s.Err() != nil {
+			t.Errorf("stream %d ended: %v", i, s.Err())
+		}
+	}
+	held := 0
+	for _, in := range d.instances {
+		held += in.streams.active()
+	}
+	if held < len(streams) {
+		t.Errorf("%d of %d streams are held", held, len(streams))
+	}
+}
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -25,6 +25,7 @@
 	t.copyRecords(r, now)
 	t.move(r, now)
 	d.issuer.expire(now)
+	d.flows.Expire(now)
 }
 
 // resend repeats unacknowledged notifications and ends streams whose caller is gone.
@@ -77,7 +78,8 @@
 	}
 }
 
-// expireLeaving drops handed-over streams whose new holder did not confirm in time.
+// expireLeaving takes back handed-over streams whose new holder did not confirm in
+// time, for instance because it died or the batch was lost. They are planned again.
 func (t *streamTable) expireLeaving(now time.Time) {
 	var expired []*stream
 	t.mu.Lock()
@@ -91,8 +93,28 @@
 	t.mu.Unlock()
 	for _, st := range expired {
 		t.daemon.metrics.handoverTimeouts.Inc()
+		t.takeBack(st)
+	}
+}
+
+func (t *streamTable) takeBack(st *stream) {
+	st.mu.Lock()
+	rec := flow.Record{Key: st.key, Token: st.token, Request: st.request, Server: st.server, Sequence: st.sequence}
+	st.mu.Unlock()
+	id, err := t.daemon.flows.Register(time.Now(), rec)
+	if err != nil {
+		t.daemon.metrics.streamsBroken.Inc()
 		t.release(st)
+		return
 	}
+	t.mu.Lock()
+	delete(t.leaving, st)
+	t.byID[id] = st
+	st.mu.Lock()
+	st.id, st.leavingUntil = id, time.Time{}
+	st.mu.Unlock()
+	t.mu.Unlock()
+	t.requestReplan()
 }
 
 // handOver passes streams to their new holder. The old observation keeps feeding the
@@ -138,7 +160,9 @@
 	st.mu.Unlock()
 }
 
+// requestReplan makes the next tick look for streams with another holder or server.
 func (t *streamTable) requestReplan() {
+	t.daemon.flows.Replan()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.replan = true
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -48,6 +48,8 @@
 	running bool
 	listed  []string // instances that the list shows as live; guarded by viewMu
 	states  map[string]membership.State
+	// weighted has the members that owned flows and servers in the last view.
+	weighted map[string]bool
 }
 
 func (m *members) init(d *Daemon, self membership.Instance, now time.Time) {
@@ -142,9 +144,14 @@
 // recordStates records the changes of members as events and returns those that died.
 func (d *Daemon) recordStates(v *membership.View) (died []string) {
 	seen := map[string]membership.State{}
+	weighted := map[string]bool{}
 	for i := range v.Domains {
 		for _, e := range v.Domains[i].Members {
 			seen[e.ID] = e.State
+			weighted[e.ID] = e.Weight > 0
+			if d.members.weighted[e.ID] && e.Weight == 0 {
+				died = append(died, e.ID) // a new process with the same ID is joining
+			}
 			if old, ok := d.members.states[e.ID]; !ok || old != e.State {
 				d.noteRunning(&e, ok)
 				d.event("member_state", timeline.Field{Key: logging.Peer, Value: e.ID}, timeline.Field{Key: logging.State, Value: e.State.String()})
@@ -157,7 +164,7 @@
 			died = append(died, id)
 		}
 	}
-	d.members.states = seen
+	d.members.states, d.members.weighted = seen, weighted
 	return died
 }
 
@@ -171,6 +178,7 @@
 // applyRouting puts a routing snapshot into force.
 func (d *Daemon) applyRouting(r *routing, now time.Time) {
 	d.routes.Store(r)
+	d.flows.RunnerUpsChanged()
 	d.schedulers.update(r, now)
 	d.streams.requestReplan()
 }
@@ -205,6 +213,7 @@
 		return
 	}
 	now := time.Now()
+	d.flows.Replan()
 	d.event("backend_server_listed", timeline.Field{Key: logging.Server, Value: name}, timeline.Field{Key: "leaving", Value: strconv.FormatBool(leaving)})
 	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action {
 		if leaving {
@@ -274,6 +283,7 @@
 		d.handleHandoverDone(b.HandoverDone)
 	case *peerpb.Envelope_ServerNotice:
 		d.notices.set(b.ServerNotice)
+		d.flows.Replan()
 	}
 }
 
