Follow the configuration with config.Follower

Cause: the daemon's own watch loop polled the store each second in an outage without jitter, started only from the store, and did not ask for the whole configuration after a change that did not fit. Ruled out: repairing the loop (config.Follower has all of it with tests). Change: the loop is replaced; a starting instance asks the store and up to 3 peers.

--- a/internal/daemon/configwatch.go
+++ b/internal/daemon/configwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -20,70 +21,44 @@
 	// watchersPerDomain instances watch the head, so that watches grow with failure
 	// domains and one failed watcher delays nobody.
 	watchersPerDomain = 2
-	storePause        = time.Second
+	watchInterval     = 500 * time.Millisecond
 	fetchTimeout      = 2 * time.Second
+	// bootstrapPeers bounds the peers that a starting instance asks.
+	bootstrapPeers = 3
 )
 
-// configSource names a peer that has a higher configuration version.
-type configSource struct {
-	from    string
-	version uint64
-}
-
-// watchConfig reads the configuration at start, and watches it while this instance is
-// a watcher of its failure domain. An outage of the store changes nothing in the data
-// path.
-func (d *Daemon) watchConfig(ctx context.Context) {
-	loader := config.NewLoader(d.store, config.LoaderConfig{})
-	var revision uint64
-	for ctx.Err() == nil {
-		if (d.current.Get() != nil && !d.watches()) || d.faults.platformCut() {
-			pause(ctx, storePause)
-			continue
-		}
-		next, err := d.loadNext(ctx, loader, revision)
-		if err != nil {
+// newFollower returns the follower that keeps this instance's configuration up to
+// date from the store and its peers. An outage of the store changes nothing in the
+// data path.
+func (d *Daemon) newFollower() *config.Follower {
+	return config.NewFollower(config.FollowerConfig{Store: d.store, Current: &d.current, Seed: d.seed,
+		FetchPeer: d.fetchFrom, Applied: d.configApplied, Event: func(e config.WatchEvent) {
 			d.metrics.storeErrors.Inc()
-			d.log.Debug().Err(err).Uint16(logging.Code, uint16(result.CodeOf(err))).Msg("store_read_failed")
-			pause(ctx, storePause)
-			continue
-		}
-		revision = next
-	}
+			d.log.Debug().Str(logging.Reason, fmt.Sprintf("%+v", e)).Msg("config_follow_event")
+		}})
 }
 
-// loadNext waits for a head after revision and loads its configuration.
-func (d *Daemon) loadNext(ctx context.Context, loader *config.Loader, revision uint64) (uint64, error) {
-	value, next, err := d.readHead(ctx, revision)
-	if err != nil {
-		return revision, err
-	}
-	if next == revision || value == nil {
-		return revision, nil // the watch timed out
-	}
-	head, err := config.DecodeHead(value)
-	if err != nil {
-		return revision, err
-	}
-	if current := d.current.Get(); current != nil && head.Version <= current.Version {
-		return next, nil
-	}
-	c, err := loader.LoadHead(ctx, head, d.current.Get())
-	if err != nil {
-		return revision, err
-	}
-	if d.faults.platformCut() {
-		return revision, result.Errorf(result.StoreUnavailable, "the platform is cut off")
+// followConfig gets the first configuration from the store or a peer, then follows.
+func (d *Daemon) followConfig(ctx context.Context) {
+	if err := d.follower.Start(ctx, d.knownPeers); err != nil {
+		return
 	}
-	d.applyConfig(c, "store")
-	return next, nil
+	d.goroutine(func() { d.every(ctx, watchInterval, func(time.Time) { d.follower.SetWatching(d.watches()) }) })
+	d.follower.Run(ctx)
 }
 
-func (d *Daemon) readHead(ctx context.Context, revision uint64) ([]byte, uint64, error) {
-	if revision == 0 {
-		return d.store.Get(ctx, config.HeadKey)
+// knownPeers returns the live instances that this one knows, for its start.
+func (d *Daemon) knownPeers() []string {
+	var ids []string
+	v := d.view()
+	for i := range v.Domains {
+		for _, e := range v.Domains[i].Members {
+			if e.ID != d.settings.InstanceID && e.State != membership.Dead && len(ids) < bootstrapPeers {
+				ids = append(ids, e.ID)
+			}
+		}
 	}
-	return d.store.Watch(ctx, config.HeadKey, revision)
+	return ids
 }
 
 // watches reports whether this instance is a watcher of its failure domain.
@@ -112,59 +87,28 @@
 	return false
 }
 
-// fetchConfig fetches configurations from peers that announced a higher version.
-func (d *Daemon) fetchConfig(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case src := <-d.configFetch:
-			if err := d.fetchFrom(ctx, src); err != nil {
-				d.log.Debug().Err(err).Str(logging.Peer, src.from).Msg("config_fetch_failed")
-			}
-		}
-	}
-}
-
-func (d *Daemon) fetchFrom(ctx context.Context, src configSource) error {
-	if d.current.Version() >= src.version {
-		return nil
-	}
-	d.members.mu.Lock()
-	e, ok := d.members.machine.View().Member(src.from)
-	d.members.mu.Unlock()
+// fetchFrom asks a peer for what it has above a version.
+func (d *Daemon) fetchFrom(ctx context.Context, from string, known uint64) ([]byte, error) {
+	e, ok := d.view().Member(from)
 	if !ok || d.faults.cutsDomain(e.Domain) {
-		return nil
+		return nil, result.Errorf(result.PeerUnreachable, "peer %s cannot be reached", from)
 	}
 	conn, err := grpc.NewClient(e.PeerAddress, grpc.WithTransportCredentials(d.peers.Credentials()))
 	if err != nil {
-		return err
+		return nil, result.Errorf(result.PeerUnreachable, "dial peer %s: %w", from, err)
 	}
 	defer conn.Close()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	reply, err := peerpb.NewPeerClient(conn).FetchConfig(ctx, &peerpb.FetchConfigRequest{KnownVersion: d.current.Version()})
-	if err != nil || len(reply.Config) == 0 {
-		return err
+	reply, err := peerpb.NewPeerClient(conn).FetchConfig(ctx, &peerpb.FetchConfigRequest{KnownVersion: known})
+	if err != nil {
+		return nil, result.Errorf(result.PeerUnreachable, "fetch configuration from %s: %w", from, err)
 	}
 	d.metrics.configFetched.Add(len(reply.Config))
-	before := d.current.Get()
-	if _, err := d.current.ApplyEncoded(reply.Config); err != nil {
-		return err
-	}
-	if after := d.current.Get(); after != before {
-		d.configApplied(after, src.from)
-	}
-	return nil
-}
-
-// applyConfig puts a configuration into force if its version is higher.
-func (d *Daemon) applyConfig(c *config.Config, source string) {
-	if d.current.Apply(c) {
-		d.configApplied(c, source)
-	}
+	return reply.Config, nil
 }
 
+// configApplied puts a configuration that was adopted into force.
 func (d *Daemon) configApplied(c *config.Config, source string) {
 	domains := make([]membership.DomainConfig, len(c.Domains))
 	for i, dom := range c.Domains {
@@ -196,10 +140,3 @@
 		d.reapplyLeaving(name, now)
 	}
 }
-
-func pause(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,20 +64,20 @@
 	current config.Current
 	routes  atomic.Pointer[routing]
 
-	members     members
-	schedulers  schedulers
-	chooser     lockedChooser
-	issuer      lockedIssuer
-	retries     lockedBudget
-	pending     *pendingTable
-	exchanges   *exchangeTable
-	flows       *flow.Table
-	streams     *streamTable
-	backends    *backendEdge
-	notices     *serverNotices
-	store       *platform.Store
-	list        *platform.List
-	configFetch chan configSource
+	members    members
+	schedulers schedulers
+	chooser    lockedChooser
+	issuer     lockedIssuer
+	retries    lockedBudget
+	pending    *pendingTable
+	exchanges  *exchangeTable
+	flows      *flow.Table
+	streams    *streamTable
+	backends   *backendEdge
+	notices    *serverNotices
+	store      *platform.Store
+	list       *platform.List
+	follower   *config.Follower
 
 	peers  *peer.Transport
 	grpc   *grpc.Server
@@ -93,8 +93,7 @@
 
 // New returns a daemon that has opened its sockets and does not serve yet.
 func New(s settings.Settings, log zerolog.Logger, creds Credentials) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, clock: timeline.NewClock(time.Now), jobs: make(chan []byte, jobQueue),
-		configFetch: make(chan configSource, 16), seed: int64(s.Seed)}
+	d := &Daemon{settings: s, log: log, clock: timeline.NewClock(time.Now), jobs: make(chan []byte, jobQueue), seed: int64(s.Seed)}
 	if d.seed == 0 {
 		d.seed = int64(randomUint64())
 	}
@@ -128,6 +127,7 @@
 	}
 	d.store = platform.NewStore(platform.StoreConfig{URL: s.StoreURL, Transport: d.platformTransport()})
 	d.list = platform.NewList(platform.ListConfig{URL: s.InstanceListURL, Transport: d.platformTransport()})
+	d.follower = d.newFollower()
 	hello := &peerpb.Hello{Instance: s.InstanceID, Incarnation: self.Incarnation, Domain: s.FailureDomain}
 	d.peers = peer.NewTransport(hello, d.clock, d, creds.Client)
 	d.peers.SetCut(d.faults.cutsDomain)
@@ -192,8 +192,7 @@
 	d.goroutine(func() { d.every(ctx, listInterval, func(now time.Time) { d.pollList(ctx, now) }) })
 	d.goroutine(func() { d.every(ctx, summaryInterval, d.sendSummaries) })
 	d.goroutine(func() { d.pollHealth(ctx) })
-	d.goroutine(func() { d.watchConfig(ctx) })
-	d.goroutine(func() { d.fetchConfig(ctx) })
+	d.goroutine(func() { d.followConfig(ctx) })
 }
 
 func (d *Daemon) goroutine(f func()) {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -106,10 +106,7 @@
 			// process alone, so a pause cannot let another instance run them.
 			d.event("instance_rejoined", timeline.Field{Key: logging.Incarnation, Value: strconv.FormatUint(a.Incarnation, 10)})
 		case membership.HigherConfig:
-			select {
-			case d.configFetch <- configSource{from: a.From, version: a.Version}:
-			default: // reported again while this instance lags
-			}
+			d.follower.Heard(a.From, a.Version)
 		case membership.Diagnostic:
 			fields := make([]timeline.Field, len(a.Fields))
 			for i, f := range a.Fields {
