dispatch: handover lists are complete, also between quarantines

Cause: runs with more checks found overruns: a server that moved A-B-C-B-C lost the requests of A, and a quarantined server was handed over with requests that had ended in place of its quarantine. Ruled out: leaving out the requests of the instance that asks; the reports of ended requests do not say whose they were. Change: a handover lists everything; an instance that takes a server straight back subtracts its own running requests; a quarantined server is listed with all slots until the end of the quarantine; a quarantine drops older counts.

--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -45,14 +45,15 @@
 	assigned bool   // in the last SetOwned
 	fenced   bool   // ownership was given up by Fence
 	previous string // whom to ask
-	source   string // who handed over the foreign requests
 	returned bool   // asking the instance to which this one handed the server over
 	takenBy  string // to whom the server was handed over
 	acquired time.Time
 	askAgain time.Time
 	until    time.Time // end of the quarantine
 	lostAt   time.Time
-	cfg      config.BackendServer
+	// expiredAt is the time at which foreign requests expired last.
+	expiredAt time.Time
+	cfg       config.BackendServer
 }
 
 // occupied returns the slots that are or may be busy.
@@ -75,8 +76,11 @@
 	for n < len(v.foreign) && !now.Before(v.foreign[n]) {
 		n++
 	}
-	v.foreign = v.foreign[n:]
-	v.expired += n
+	if n > 0 {
+		v.foreign = v.foreign[n:]
+		v.expired += n
+		v.expiredAt = now
+	}
 }
 
 // endForeign removes requests that the previous dispatcher reports as ended, and
@@ -91,12 +95,19 @@
 	return ended
 }
 
-// setForeign replaces the requests of the previous dispatcher.
-func (v *server) setForeign(deadlines []time.Time, source string) {
+// setForeign replaces the requests of the previous dispatcher. Those that have expired
+// just now may still be reported as ended.
+func (v *server) setForeign(now time.Time, deadlines []time.Time) {
 	slices.SortFunc(deadlines, time.Time.Compare)
-	v.foreign, v.expired, v.source = deadlines, 0, source
+	v.foreign = deadlines
+	if now.Sub(v.expiredAt) > reportDelay {
+		v.expired = 0
+	}
 }
 
+// reportDelay is how long after its deadline the end of a request may be reported.
+const reportDelay = time.Second
+
 // freeHeap orders the servers with a free slot by busy.
 type freeHeap []*server
 
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/backend"
@@ -129,6 +130,7 @@
 // time has passed. The previous dispatcher sent nothing after it.
 func (s *Scheduler) quarantine(out []Action, now time.Time, v *server, since time.Time, reason string) []Action {
 	v.role = quarantined
+	v.setForeign(now, nil)
 	v.askAgain = now.Add(quarantineAskInterval)
 	v.until = since.Add(s.svc.MaxDeadline.Duration())
 	s.refresh(now, v)
@@ -162,9 +164,6 @@
 			continue // was_owner false: the count here is not the whole count
 		}
 		h.WasOwner = true
-		if from == v.source {
-			v.setForeign(nil, "") // they are known to the instance that asks
-		}
 		h.Running = s.runningRequests(now, v)
 		h.ServiceTimeUs = uint32(v.life.ServiceTime().Microseconds())
 		h.State = uint32(v.life.State())
@@ -180,24 +179,40 @@
 // runningRequests lists everything that does or may occupy a slot of the server.
 func (s *Scheduler) runningRequests(now time.Time, v *server) []*peerpb.RunningRequest {
 	var list []*peerpb.RunningRequest
-	add := func(deadline time.Time) {
-		left := max(0, deadline.Sub(now))
-		list = append(list, &peerpb.RunningRequest{DeadlineMs: uint32((left + time.Millisecond - 1) / time.Millisecond)})
+	if v.role == quarantined {
+		for range v.life.Slots() {
+			list = append(list, runningRequest(now, v.until))
+		}
+		return list
 	}
 	for i := range s.grants {
 		if g := &s.grants[i]; g.server == v {
-			add(g.request.Deadline)
+			list = append(list, runningRequest(now, g.request.Deadline))
 		}
 	}
 	for _, d := range v.foreign {
-		add(d.Add(-s.cfg.DeadlineGrace))
-	}
-	for v.role == quarantined && len(list) < v.life.Slots() {
-		add(v.until)
+		list = append(list, runningRequest(now, d.Add(-s.cfg.DeadlineGrace)))
 	}
 	return list
 }
 
+// ownRunning counts the own requests on a server that are not about to expire.
+func (s *Scheduler) ownRunning(now time.Time, v *server) (n int) {
+	const margin = 50 * time.Millisecond // they may have expired at the other instance
+	for i := range s.grants {
+		if g := &s.grants[i]; g.server == v && g.request.Deadline.Sub(now) > margin {
+			n++
+		}
+	}
+	return n
+}
+
+// runningRequest describes a request by the time that is left, rounded up.
+func runningRequest(now, deadline time.Time) *peerpb.RunningRequest {
+	left := max(0, deadline.Sub(now))
+	return &peerpb.RunningRequest{DeadlineMs: uint32((left + time.Millisecond - 1) / time.Millisecond)}
+}
+
 // HandoverReply ends the takeover of the servers that the previous dispatcher has
 // handed over.
 func (s *Scheduler) HandoverReply(now time.Time, from string, list []*peerpb.ServerHandover) []Action {
@@ -218,10 +233,12 @@
 			left := time.Duration(r.DeadlineMs) * time.Millisecond
 			deadlines = append(deadlines, now.Add(left+s.cfg.DeadlineGrace))
 		}
+		slices.SortFunc(deadlines, time.Time.Compare)
 		if v.returned {
-			deadlines = append(deadlines, v.foreign...) // kept since the handover to that instance
+			// The list contains the own requests that were handed over and still run.
+			deadlines = deadlines[min(s.ownRunning(now, v), len(deadlines)):]
 		}
-		v.setForeign(deadlines, from)
+		v.setForeign(now, deadlines)
 		v.life.Seed(time.Duration(h.ServiceTimeUs) * time.Microsecond)
 		if backend.State(h.State) == backend.Draining {
 			out = append(out, s.Leave(now, h.Server, backend.NoticeHealth)...)
@@ -285,7 +302,7 @@
 	for _, v := range s.owned {
 		switch {
 		case v.role == quarantined && !now.Before(v.until):
-			v.setForeign(nil, "")
+			v.setForeign(now, nil)
 			out = s.own(out, now, v, "quarantine")
 		case v.role == asking && now.Sub(v.acquired) >= time.Duration(s.cfg.HandoverTries)*s.cfg.HandoverTimeout:
 			out = s.quarantine(out, now, v, now, "no_answer")
