dispatch: a takeover that is not finished survives the next one

Ruled out: an effect of the pause; two moves within 60 ms after a crash are enough. Change: releasing a quarantined server keeps its quarantine for the handover; one that was never handed over is not vouched for.

--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -205,6 +205,21 @@
 	last.expect(show(last.s.HandoverDone(last.now, "a", 1)), "run 4@a")
 }
 
+// Guards against own requests that are counted twice when a server comes back.
+func TestServerThatComesBack(t *testing.T) {
+	old, next := newFixture(t, 100), newFixture(t)
+	old.expect(old.submit(1, time.Second), "run 1@a")
+	next.s.SetOwned(next.now, assignments("old", 100), 2)
+	_, reply := old.s.HandoverRequest(old.now, "next", []string{"a"})
+	next.s.HandoverReply(next.now, "old", reply)
+	old.s.SetOwned(old.now, nil, 2)
+	old.expect(show(old.s.SetOwned(old.now, assignments("next", 100), 3)), "ask next[a]")
+	_, reply = next.s.HandoverRequest(next.now, "old", []string{"a"})
+	old.s.HandoverReply(old.now, "next", reply)
+	old.expect(old.submit(2, time.Second), "")
+	old.expect(old.finish(1, backend.Success, time.Millisecond), "run 2@a")
+}
+
 // Guards against a takeover from an instance that does not answer, or was not the
 // dispatcher, without waiting for the longest deadline.
 func TestHandoverWithoutOwnerIsQuarantined(t *testing.T) {
@@ -222,6 +237,30 @@
 	}
 }
 
+// Guards against a takeover that loses a quarantine, or vouches for a count that never
+// arrived, when the server moves on and the view arrives before the request.
+func TestUnfinishedTakeoverIsHandedOver(t *testing.T) {
+	for _, c := range [][2]bool{{false, true}, {true, true}, {true, false}} {
+		quarantined, viewFirst := c[0], c[1]
+		f := newFixture(t)
+		f.s.SetOwned(f.now, assignments("old", 100), 2)
+		if quarantined {
+			f.s.InstanceDead(f.now, "old")
+		}
+		if viewFirst {
+			f.s.SetOwned(f.now, nil, 3)
+		}
+		_, reply := f.s.HandoverRequest(f.now, "next", []string{"a"})
+		busy := time.Duration(0)
+		for _, r := range reply[0].Running {
+			busy = max(busy, time.Duration(r.DeadlineMs)*time.Millisecond+DefaultDeadlineGrace)
+		}
+		if reply[0].WasOwner != quarantined || quarantined && busy < testMaxDeadline {
+			t.Errorf("quarantined %v, view first %v: handed over as %v", quarantined, viewFirst, reply)
+		}
+	}
+}
+
 // Guards against grants after the own clock jumped, when another instance may be the
 // dispatcher, and against slots of own requests that are forgotten.
 func TestFenceGivesUpOwnership(t *testing.T) {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -42,15 +42,18 @@
 	watched   bool // in the scheduler's watch list
 	panicking bool // used although ejected
 
-	assigned bool   // in the last SetOwned
-	fenced   bool   // ownership was given up by Fence
-	previous string // whom to ask
-	returned bool   // asking the instance to which this one handed the server over
-	takenBy  string // to whom the server was handed over
-	acquired time.Time
-	askAgain time.Time
-	until    time.Time // end of the quarantine
-	lostAt   time.Time
+	assigned bool // in the last SetOwned
+	fenced   bool // ownership was given up by Fence
+	// incomplete is set when the server was lost before the previous dispatcher had
+	// handed it over: the count here is not the whole count.
+	incomplete bool
+	previous   string // whom to ask
+	returned   bool   // asking the instance to which this one handed the server over
+	takenBy    string // to whom the server was handed over
+	acquired   time.Time
+	askAgain   time.Time
+	until      time.Time // end of the quarantine
+	lostAt     time.Time
 	// expiredAt is the time at which foreign requests expired last.
 	expiredAt time.Time
 	cfg       config.BackendServer
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -104,6 +104,7 @@
 	if previous == "" {
 		previous = v.takenBy // the instance to which this one handed it over
 	}
+	v.incomplete = false
 	v.returned = v.takenBy != "" && previous == v.takenBy
 	v.previous, v.takenBy, v.acquired = previous, "", now
 	died, dead := s.dead[previous]
@@ -138,8 +139,16 @@
 		Fields: []string{"reason=" + reason, "previous=" + v.previous}})
 }
 
-// release stops sending to a server. Its running requests go on.
+// release stops sending to a server. Its running requests go on. What is known of other
+// requests is kept for the next dispatcher, which may ask after this instance's view has
+// changed.
 func (s *Scheduler) release(now time.Time, v *server) {
+	switch v.role {
+	case quarantined:
+		v.setForeign(now, slices.Repeat([]time.Time{v.until}, v.life.Slots()))
+	case asking:
+		v.incomplete = true
+	}
 	v.role, v.lostAt = released, now
 	s.refresh(now, v)
 }
@@ -160,7 +169,7 @@
 		v := s.servers[name]
 		h := &peerpb.ServerHandover{Server: name}
 		reply = append(reply, h)
-		if v == nil || v.fenced || v.role == asking || (v.role == released && v.takenBy != "" && v.takenBy != from) {
+		if v == nil || v.fenced || v.incomplete || v.role == asking || (v.role == released && v.takenBy != "" && v.takenBy != from) {
 			continue // was_owner false: the count here is not the whole count
 		}
 		h.WasOwner = true
