Let about 8 backend servers of a service and domain share a dispatcher

With a dispatcher for each server, a dispatcher with one server and a queue cannot use its neighbours' slots. Change: servers are placed in groups of a service and domain; a group has one dispatcher. At 12,000 hosts for 2,800 services a group has about 4 servers, so work still spreads. Cost: a crash quarantines the slots of a whole group for the longest deadline.

--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -128,7 +128,7 @@
 	seen := map[string]bool{}
 	for i := range svc.BackendServers {
 		b := &svc.BackendServers[i]
-		owner, ok := r.view.Dispatcher(b.Domain, b.Name)
+		owner, ok := r.dispatcher(svc, b)
 		if !ok {
 			continue
 		}
@@ -142,7 +142,7 @@
 			continue
 		}
 		if previous == "" || previous == self {
-			previous = previousDispatcher(r, b, self)
+			previous = previousDispatcher(r, svc, b, self)
 		}
 		if !settled {
 			continue
@@ -157,7 +157,7 @@
 
 // previousDispatcher returns the instance that would dispatch the server without this
 // one: the one that did so until this instance joined.
-func previousDispatcher(r *routing, b *config.BackendServer, self string) string {
+func previousDispatcher(r *routing, svc *service, b *config.BackendServer, self string) string {
 	for i := range r.view.Domains {
 		dom := &r.view.Domains[i]
 		if dom.Name != b.Domain {
@@ -169,7 +169,7 @@
 				others = append(others, placement.NewMember(e.ID, e.Weight))
 			}
 		}
-		if k := placement.Pick(placement.Key("server", b.Name), others); k >= 0 {
+		if k := placement.Pick(placement.Key("server", svc.groups[b.Name]), others); k >= 0 {
 			return others[k].ID
 		}
 	}
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -177,7 +177,7 @@
 	if server == nil {
 		return ""
 	}
-	e, ok := r.view.Dispatcher(server.Domain, server.Name)
+	e, ok := r.dispatcher(req.service, server)
 	if !ok {
 		return ""
 	}
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/monsoonthread/monsoonthread/config"
@@ -17,9 +18,15 @@
 	servers   map[string]*config.BackendServer
 }
 
+// groupSize is about how many backend servers of a service and failure domain share a
+// dispatcher. A dispatcher with several servers gives a waiting request whichever slot
+// is free first, so the servers are used more evenly than by one dispatcher each.
+const groupSize = 8
+
 // service is one service of the configuration with what is computed from it.
 type service struct {
 	*config.Service
+	groups  map[string]string // dispatch group of each backend server
 	members []placement.Member
 }
 
@@ -44,10 +51,30 @@
 }
 
 func newService(c *config.Service) *service {
-	s := &service{Service: c, members: make([]placement.Member, 0, len(c.BackendServers))}
+	s := &service{Service: c, groups: dispatchGroups(c), members: make([]placement.Member, 0, len(c.BackendServers))}
 	for i := range c.BackendServers {
 		b := &c.BackendServers[i]
 		s.members = append(s.members, placement.NewMember(b.Name, b.Weight))
 	}
 	return s
 }
+
+// dispatchGroups assigns each backend server to a group that has one dispatcher.
+func dispatchGroups(c *config.Service) map[string]string {
+	perDomain := map[string]int{}
+	for i := range c.BackendServers {
+		perDomain[c.BackendServers[i].Domain]++
+	}
+	groups := make(map[string]string, len(c.BackendServers))
+	for i := range c.BackendServers {
+		b := &c.BackendServers[i]
+		n := uint64(perDomain[b.Domain]+groupSize-1) / groupSize
+		groups[b.Name] = fmt.Sprintf("%s/%s/%d", c.Name, b.Domain, placement.Key(b.Name)%n)
+	}
+	return groups
+}
+
+// dispatcher returns the instance that dispatches a backend server.
+func (r *routing) dispatcher(s *service, b *config.BackendServer) (membership.Entry, bool) {
+	return r.view.Dispatcher(b.Domain, s.groups[b.Name])
+}
