Generate docs/SETTINGS.md from the flags

Cause: no page listed the settings of monsoonthreadd and monsoonctl, and a page written by hand would drift from the flags. Ruled out: reading the allowed values out of the flag descriptions, because the descriptions of several flags do not state them.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -125,6 +125,12 @@
 	}
 }
 
+// Command returns the command tree with its flags, from which docs/SETTINGS.md is
+// generated.
+func Command() *cobra.Command {
+	return (&app{env: Env{Getenv: func(string) string { return "" }}}).root()
+}
+
 func (a *app) root() *cobra.Command {
 	root := &cobra.Command{
 		Use:               "monsoonctl",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,8 @@
 // and checks all of them at start.
 package settings
 
+//go:generate go test -run TestSettingsPage -update .
+
 import (
 	"errors"
 	"fmt"
