--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -63,7 +63,10 @@
 // usageError is a command line that cannot be run.
 type usageError struct{ err error }
 
+// Error implements error.
 func (e *usageError) Error() string { return e.err.Error() }
+
+// Unwrap gives access to the result code.
 func (e *usageError) Unwrap() error { return e.err }
 
 func usagef(format string, args ...any) error {
@@ -125,6 +128,12 @@
 	}
 }
 
+// Command returns the command tree with its flags, from which docs/SETTINGS.md is
+// generated.
+func Command() *cobra.Command {
+	return (&app{env: Env{Getenv: func(string) string { return "" }}}).root()
+}
+
 func (a *app) root() *cobra.Command {
 	root := &cobra.Command{
 		Use:               "monsoonctl",
