--- a/test/lab/result.go
+++ b/test/lab/result.go
@@ -73,6 +73,8 @@
 	Imbalance float64 `json:"imbalance"`  // max/mean of busy slot time per slot
 	SlotsBusy float64 `json:"slots_busy"` // mean share of slot time
 	Servers   int     `json:"servers"`
+	// Busy is the share of slot time by backend server.
+	Busy map[string]float64 `json:"busy"`
 	// Overruns are the overruns of the whole run by backend server.
 	Overruns map[string]uint64 `json:"overruns,omitempty"`
 }
