--- a/caller/client.go
+++ b/caller/client.go
@@ -33,12 +33,17 @@
 	// DefaultAckedRetransmit repeats a request that was acknowledged but not
 	// answered, because the instance that acknowledged it may have failed.
 	DefaultAckedRetransmit = 4 * time.Second
+	// DefaultRegisterPause is the shortest time between two attempts to renew a
+	// stream.
+	DefaultRegisterPause = time.Second
 	// DefaultRetryBudget is the share of first tries that may be tried again.
 	DefaultRetryBudget = 0.1
 	DefaultMaxBody     = 64 << 20
 
 	// retryBurst is the number of retries that an unused budget accumulates.
 	retryBurst = 10
+	// retrySpread is the share of a wait by which it is extended at random.
+	retrySpread = 0.25
 	// tokenBytes leaves 32 random bits, the minimum of RFC 7252, 5.3.1.
 	tokenBytes = 4
 	// recentMessages is the number of received messages that are kept to detect
@@ -54,6 +59,7 @@
 	MaxRetransmit   int
 	ResponseTimeout time.Duration
 	AckedRetransmit time.Duration
+	RegisterPause   time.Duration
 	RetryBudget     float64 // negative: no retries
 	MaxBody         int     // limit of an answer in blocks, in bytes
 }
@@ -63,6 +69,7 @@
 	setDefault(&c.MaxRetransmit, DefaultMaxRetransmit)
 	setDefault(&c.ResponseTimeout, DefaultResponseTimeout)
 	setDefault(&c.AckedRetransmit, DefaultAckedRetransmit)
+	setDefault(&c.RegisterPause, DefaultRegisterPause)
 	setDefault(&c.MaxBody, DefaultMaxBody)
 	if c.AckRandomFactor < 1 {
 		c.AckRandomFactor = DefaultAckRandomFactor
@@ -116,6 +123,7 @@
 	if cfg.Local.IsValid() {
 		local = net.UDPAddrFromAddrPort(cfg.Local)
 	}
+	service = netip.AddrPortFrom(service.Addr().Unmap(), service.Port())
 	conn, err := net.DialUDP("udp", local, net.UDPAddrFromAddrPort(service))
 	if err != nil {
 		return nil, fmt.Errorf("dial service %s: %w", service, err)
@@ -173,12 +181,21 @@
 
 // try performs a request until it is answered or must not be repeated.
 func (c *Client) try(ctx context.Context, m message.Message) (message.Message, error) {
-	c.earnRetry()
-	for {
+	return c.retry(ctx, func() (message.Message, error) {
 		answer, err := c.permitted(ctx, m)
 		if err == nil {
 			err = refusal(answer)
 		}
+		return answer, err
+	})
+}
+
+// retry calls f until it succeeds, its error must not be retried or the budget is
+// spent. The waits are spread, because many callers are refused at the same time.
+func (c *Client) retry(ctx context.Context, f func() (message.Message, error)) (message.Message, error) {
+	c.earnRetry()
+	for {
+		answer, err := f()
 		if err == nil {
 			return answer, nil
 		}
@@ -186,7 +203,7 @@
 		if !ok || !c.spendRetry() {
 			return answer, err
 		}
-		if !sleep(ctx, after) {
+		if !sleep(ctx, after+time.Duration(mathrand.Float64()*float64(after)*retrySpread)) {
 			return answer, err
 		}
 	}
@@ -234,7 +251,7 @@
 
 // permitted performs one request and repeats it with the permit if one is required.
 // The repeat has its own token, so a late answer to the first message is ignored.
-// A permit is presented once: a second demand after a permitted request is an error.
+// A second demand after a permitted request is an error.
 func (c *Client) permitted(ctx context.Context, m message.Message) (message.Message, error) {
 	answer, err := c.exchange(ctx, m, nil)
 	if err != nil || Code(answer.Code) != Unauthorized {
@@ -245,13 +262,40 @@
 		return answer, nil
 	}
 	m.Options = withOption(m.Options, message.Echo, echo)
-	answer, err = c.exchange(ctx, m, nil)
+	answer, err = c.present(ctx, m)
 	if err == nil && Code(answer.Code) == Unauthorized && answer.Options.HasOption(message.Echo) {
 		err = result.Errorf(result.PermitRequired, "the permit was not accepted")
 	}
 	return answer, err
 }
 
+const (
+	// presentations bounds how often a permit is presented. With half of the instances
+	// cut off from its issuer, 8 presentations miss the issuer in 1 of 256 cases.
+	presentations = 8
+	// presentPause is the first pause between presentations; it doubles each time.
+	presentPause = 10 * time.Millisecond
+)
+
+// present sends a permitted request until its issuer has answered. The message may
+// reach an instance that is cut off from the issuer, and another copy one that is not.
+// The issuer runs the request at most once, however often the permit is presented.
+func (c *Client) present(ctx context.Context, m message.Message) (message.Message, error) {
+	pause := presentPause
+	for n := 1; ; n++ {
+		answer, err := c.exchange(ctx, m, nil)
+		if err != nil || n == presentations || diagnosticCode(answer) != result.IssuerLost {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return answer, nil
+		case <-time.After(pause):
+		}
+		pause *= 2
+	}
+}
+
 // withOption returns a copy of options with one option set.
 func withOption(options message.Options, id message.OptionID, value []byte) message.Options {
 	copied := append(make(message.Options, 0, len(options)+2), options...)
@@ -366,8 +410,8 @@
 	}
 }
 
-// send writes a datagram. A lost datagram and one that could not be written are the
-// same to the protocol, so the error is dropped.
+// send writes a datagram. To the protocol, a datagram that cannot be written is a lost
+// one, so the error is dropped.
 func (c *Client) send(b []byte) { _, _ = c.conn.Write(b) }
 
 func (c *Client) receive() {
@@ -379,7 +423,9 @@
 			return
 		}
 		if err != nil {
-			// An ICMP error of an earlier datagram; the socket stays usable.
+			// An ICMP error of an earlier datagram; the socket stays usable. The
+			// pause keeps any other error from occupying a core.
+			time.Sleep(time.Millisecond)
 			continue
 		}
 		if reply := c.handle(append([]byte(nil), buf[:n]...)); reply != nil {
@@ -466,11 +512,10 @@
 	// A notification may arrive while a refresh of its stream waits for its answer.
 	// Both carry the current state, so either completes the refresh.
 	if e := c.exchanges[t]; e != nil {
-		select {
-		case e.response <- m:
-			return true
-		default:
-		}
+		// The exchange ends here: a notification that follows is not for it.
+		delete(c.exchanges, t)
+		e.response <- m
+		return true
 	}
 	if s := c.streams[t]; s != nil {
 		return s.offer(m)
@@ -490,3 +535,12 @@
 func emptyMessage(typ message.Type, mid uint16) []byte {
 	return []byte{1<<6 | byte(typ)<<4, 0, byte(mid >> 8), byte(mid)}
 }
+
+// diagnosticCode returns the result code of a refusal, or OK.
+func diagnosticCode(m message.Message) result.Code {
+	code, _, ok := parseDiagnostic(m.Payload)
+	if m.Code>>5 < 4 || !ok {
+		return result.OK
+	}
+	return code
+}
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,8 +14,8 @@
 
 // The policies. All but PolicySummaries are baselines for measurements.
 const (
-	// PolicySummaries prefers dispatchers with free slots, otherwise the shorter
-	// expected wait of two.
+	// PolicySummaries balances the work per capacity and corrects it by the backlog in
+	// the summaries.
 	PolicySummaries Policy = iota
 	PolicyRandom
 	PolicyRoundRobin
@@ -38,29 +39,37 @@
 const (
 	DefaultSummaryMaxAge  = 1500 * time.Millisecond
 	DefaultFailureBackoff = 500 * time.Millisecond
-	// scanLimit is the number of candidates up to which all are compared. A sample of
-	// sampleSize keeps the decision flat above it.
-	scanLimit  = 32
+	// sampleSize bounds the candidates of one choice, which keeps it under 1 us.
 	sampleSize = 16
 	// maxSentLag bounds, in seconds of the dispatcher's capacity, how much a candidate
 	// that was not chosen catches up.
 	maxSentLag = 0.5
+	// backlogMemory is the age, in seconds, at which the backlog of a summary no longer
+	// counts: by then the requests of others have changed it.
+	backlogMemory = 0.2
+	// maxExtraWait, in seconds, is how much longer than the shortest the expected wait
+	// may be for a dispatcher to be considered.
+	maxExtraWait = 0.01
+	// unknownWait, in seconds, is assumed without a fresh summary: the dispatcher is used
+	// when all others have a noticeable queue.
+	unknownWait = 0.05
 )
 
 // candidate is a dispatcher of a service as seen from this instance.
 type candidate struct {
 	instance string
 	known    bool
-	closed   bool // dispatches nothing, now or soon
-	seen     time.Time
+	closed   bool  // dispatches nothing, now or soon
+	seen     int64 // ns since the chooser's epoch
+	avoid    int64 // not used before
 	seq      uint64
 	free     float64
 	wait     float64 // seconds
 	rate     float64 // requests per second
+	cost     float64 // seconds of its capacity per request
 	sent     float64 // requests sent since the summary
 	pending  float64 // requests without an answer; PolicyNoSummary
 	work     float64 // seconds of the dispatcher's capacity that were sent to it
-	avoid    time.Time
 }
 
 // candidates are the dispatchers of one service.
@@ -77,7 +86,9 @@
 type Chooser struct {
 	cfg      ChooserConfig
 	rng      *rand.Rand
+	epoch    time.Time
 	services map[uint32]*candidates
+	sample   []evaluation // scratch
 }
 
 // NewChooser returns a chooser without candidates.
@@ -138,13 +149,17 @@
 	if d.known && sum.GetSeq() <= d.seq && d.seq-sum.GetSeq() < seqRestart {
 		return // overtaken by a newer one
 	}
-	d.known, d.seen, d.seq, d.sent = true, now, sum.GetSeq(), 0
+	if d.seq == 0 {
+		d.work = s.virtual // what was sent before its capacity was known does not count
+	}
+	d.known, d.seen, d.seq, d.sent = true, c.time(now), sum.GetSeq(), 0
 	d.free = float64(sum.GetFreeSlots())
 	d.wait = float64(sum.GetExpectedWaitMs()) / 1000
 	d.rate = float64(sum.GetServiceRateMilli()) / 1000
 	d.closed = sum.GetTotalSlots() == 0 && sum.GetExpectedWaitMs() == 0
 	s.maxRate = max(s.maxRate, d.rate)
-	d.avoid = time.Time{}
+	d.cost = 1 / max(d.rate, minRate(s))
+	d.avoid = 0
 }
 
 // seqRestart is the distance from which a lower sequence number is a restart of the
@@ -188,103 +203,100 @@
 	d.pending++
 	d.work = max(d.work, s.virtual-maxSentLag)
 	s.virtual = max(s.virtual, d.work)
-	if s.maxRate > 0 {
-		d.work += 1 / max(d.rate, minRate(s))
+	cost := d.cost
+	if cost == 0 && s.maxRate > 0 {
+		cost = 1 / s.maxRate // not known yet
 	}
-	d.work = min(d.work, s.virtual+maxSentLag)
+	d.work = min(d.work+cost, s.virtual+maxSentLag)
 }
 
 // minRate is assumed for a dispatcher of unknown or zero rate.
-func minRate(s *candidates) float64 { return max(s.maxRate/float64(sampleSize), 1) }
+func minRate(s *candidates) float64 { return max(s.maxRate/16, 1) }
 
 // Failed records that a dispatcher could not be reached or did not answer.
 func (c *Chooser) Failed(now time.Time, service uint32, instance string) {
 	if _, d := c.find(service, instance); d != nil {
 		d.known = false
 		d.pending = max(0, d.pending-1)
-		d.avoid = now.Add(c.cfg.FailureBackoff)
+		d.avoid = c.time(now.Add(c.cfg.FailureBackoff))
 	}
 }
 
-// bySummary takes a dispatcher with a free slot. Among several it takes the one that
-// was sent the least work in relation to its capacity.
+// bySummary takes the dispatcher with the lowest score among those with a short
+// expected wait; see evaluate. Of many candidates, some at a random distance from each
+// other are compared; neighbours alone would never be compared with the rest.
 func (c *Chooser) bySummary(now time.Time, s *candidates, exclude []string) int {
-	best := -1
-	consider := func(i int) {
-		d := &s.list[i]
-		if !c.fresh(now, d) || d.free-d.sent < 1 || slices.Contains(exclude, d.instance) {
-			return
+	t := c.time(now)
+	n := len(s.list)
+	i := c.rng.IntN(n)
+	part := 1 / float64(n)
+	c.sample = c.sample[:0]
+	shortest := math.Inf(1)
+	step := 1
+	if n > sampleSize {
+		step += c.rng.IntN(n - 1)
+	}
+	for range min(n, sampleSize) {
+		if i += step; i >= n {
+			i -= n
 		}
-		if best < 0 || d.work < s.list[best].work {
-			best = i
+		d := &s.list[i]
+		if t < d.avoid || d.closed && c.fresh(t, d) || slices.Contains(exclude, d.instance) {
+			continue
 		}
+		e := evaluation{index: i}
+		e.wait, e.score = c.evaluate(t, s, d, part)
+		shortest = min(shortest, e.wait)
+		c.sample = append(c.sample, e)
 	}
-	n := len(s.list)
-	start := c.rng.IntN(n)
-	if n <= scanLimit {
-		for k := range n {
-			consider((start + k) % n)
-		}
-	} else {
-		for range sampleSize {
-			consider(c.rng.IntN(n))
+	best := -1
+	lowest := math.Inf(1)
+	for k := range c.sample {
+		if e := &c.sample[k]; e.wait <= shortest+maxExtraWait && e.score < lowest {
+			best, lowest = e.index, e.score
 		}
 	}
-	if best >= 0 {
-		return best
+	if best < 0 {
+		return c.uniform(s, exclude)
 	}
-	return c.shorterWait(now, s, exclude)
+	return best
 }
 
-// shorterWait takes the shorter expected wait of two dispatchers that are drawn in
-// proportion to their capacity.
-func (c *Chooser) shorterWait(now time.Time, s *candidates, exclude []string) int {
-	i, j := c.weighted(now, s, exclude), c.weighted(now, s, exclude)
-	if i < 0 || j < 0 {
-		return max(i, j)
-	}
-	if c.expectedWait(now, s, j) < c.expectedWait(now, s, i) {
-		return j
-	}
-	return i
+// evaluation is a candidate's part in one choice. Both values are seconds.
+type evaluation struct {
+	index       int
+	wait, score float64
 }
 
-func (c *Chooser) fresh(now time.Time, d *candidate) bool {
-	return d.known && now.Sub(d.seen) <= c.cfg.SummaryMaxAge && !now.Before(d.avoid)
+// evaluate computes the expected wait of a candidate and its score. The score is the
+// work that this instance sent to it, in seconds of its capacity, plus this instance's
+// part of its backlog. A backlog is negative while slots are free.
+//
+// Equal work per capacity balances the dispatchers, and the backlog corrects for what
+// others send. Each of about as many instances as there are candidates sees the same
+// backlog, so each corrects only its part. When each went to the free slots of the
+// summaries first, the 99th percentile of the wait was 2 times as long with 8 instances
+// and 6 times with 70.
+func (c *Chooser) evaluate(t int64, s *candidates, d *candidate, part float64) (wait, score float64) {
+	score = max(d.work, s.virtual-maxSentLag)
+	if !c.fresh(t, d) {
+		return unknownWait, score
+	}
+	age := float64(t-d.seen) / float64(time.Second)
+	backlog := d.wait + (d.sent-d.free)*d.cost
+	return max(0, backlog-age), score + backlog*part*max(0, 1-age/backlogMemory)
 }
 
-// expectedWait returns seconds; the requests sent since the summary are ahead.
-func (c *Chooser) expectedWait(now time.Time, s *candidates, i int) float64 {
-	d := &s.list[i]
-	if !c.fresh(now, d) {
-		return unknownWait
+// time converts to nanoseconds since the epoch, which are cheaper to compare.
+func (c *Chooser) time(now time.Time) int64 {
+	if c.epoch.IsZero() {
+		c.epoch = now.Add(-time.Second)
 	}
-	return d.wait + max(0, d.sent-d.free+1)/max(d.rate, minRate(s))
+	return int64(now.Sub(c.epoch))
 }
 
-// unknownWait, in seconds, is assumed for a dispatcher without a fresh summary: it is
-// used when the others have a noticeable queue.
-const unknownWait = 0.05
-
-// weighted draws a dispatcher in proportion to its rate, by rejection.
-func (c *Chooser) weighted(now time.Time, s *candidates, exclude []string) int {
-	const tries = 16
-	last := -1
-	for range tries {
-		i := c.rng.IntN(len(s.list))
-		d := &s.list[i]
-		if slices.Contains(exclude, d.instance) || now.Before(d.avoid) || d.closed && c.fresh(now, d) {
-			continue
-		}
-		last = i
-		if c.rng.Float64()*s.maxRate <= max(d.rate, minRate(s)) {
-			return i
-		}
-	}
-	if last >= 0 {
-		return last
-	}
-	return c.uniform(s, exclude)
+func (c *Chooser) fresh(t int64, d *candidate) bool {
+	return d.known && t-d.seen <= int64(c.cfg.SummaryMaxAge) && t >= d.avoid
 }
 
 // uniform draws any candidate that is not excluded, or -1.
--- a/membership/member.go
+++ b/membership/member.go
@@ -42,13 +42,13 @@
 	hash    uint64 // share of the domain's digest
 	changed uint64 // domain.seq of the last change
 
-	heard     time.Time // last sign of life, direct or by an indirect probe
-	suspectAt time.Time
-	reminded  bool // second ping of the suspicion was sent
-	deadAt    time.Time
-	missing   time.Time // first full summary of its domain that lacked it
-	acked     uint64    // own incarnation that this member has acknowledged
-	queued    *update
+	heard        time.Time // last sign of life, direct or by an indirect probe
+	suspectAt    time.Time
+	suspectPings int // pings because of the suspicion
+	deadAt       time.Time
+	missing      time.Time // first full summary of its domain that lacked it
+	acked        uint64    // own incarnation that this member has acknowledged
+	queued       *update
 	// listedLeaving: the instance list shows it as leaving.
 	listedLeaving bool
 }
@@ -134,15 +134,17 @@
 	reachable   bool
 	record      uint64 // version of reachable, set by delegates of the own domain
 	unreachable time.Time
-	heard       time.Time // last message from that domain to this machine
-	evidence    bool      // heard recently, as this machine saw it at its last tick
-	known       uint64    // digest of the own domain that it reported to know
+	heard       time.Time     // last message from that domain to this machine
+	evidence    bool          // heard recently, as this machine saw it at its last tick
+	doubt       time.Duration // see presume
+	known       uint64        // digest of the own domain that it reported to know
 	lastPush    time.Time
 	lastFull    time.Time
 	queued      *update
 
-	listed []Instance // from the instance list
-	vacant bool       // see Domain.vacant
+	listed      []Instance // from the instance list
+	vacant      bool       // see Domain.vacant
+	vacantSince time.Time
 	// delegates exchange summaries with other domains.
 	delegates [2]*member
 }
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -31,6 +31,7 @@
 	version      uint64
 	incarnations map[string]uint64
 	sent         int64 // bytes
+	messages     int
 	busy         time.Duration
 }
 
@@ -54,6 +55,7 @@
 	cut      func(a, b *node) bool
 	domains  []DomainConfig
 	workers  int
+	interval time.Duration // between comparisons of all views
 	measure  bool
 	framing  int64 // bytes that are added per message when measuring
 }
@@ -65,7 +67,7 @@
 
 func newNetwork(t fataler, seed int64, domains, members int) *network {
 	n := &network{t: t, now: time.UnixMilli(1_700_000_000_000), rng: rand.New(rand.NewSource(seed)),
-		byAddr: map[string]*node{}, due: map[int][]delivery{}}
+		byAddr: map[string]*node{}, due: map[int][]delivery{}, interval: 100 * time.Millisecond}
 	for d := range domains {
 		n.domains = append(n.domains, DomainConfig{fmt.Sprintf("dom%02d", d), 100})
 	}
@@ -144,6 +146,17 @@
 	nd.results = nd.results[:0]
 }
 
+// diagnosed counts the diagnostics of a name since the test cleared the actions.
+func (nd *node) diagnosed(name string) int {
+	count := 0
+	for _, a := range nd.actions {
+		if d, ok := a.(Diagnostic); ok && d.Name == name {
+			count++
+		}
+	}
+	return count
+}
+
 // checkView guards against versions that go down.
 func (n *network) checkView(nd *node, v *View) {
 	if v.Version <= nd.version {
@@ -163,6 +176,7 @@
 func (n *network) transmit(from *node, s Send) {
 	if n.measure {
 		from.sent += int64(proto.Size(s.Message)) + n.framing
+		from.messages++
 	}
 	if k := s.Message.Kind; (k == kindPing || k == kindAck) && len(s.Message.Updates) > maxUpdates+2 {
 		n.t.Fatalf("%d updates in one message", len(s.Message.Updates))
@@ -256,7 +270,7 @@
 
 // converge runs until all views are as they should be and returns how long that took.
 func (n *network) converge(limit time.Duration, sees func(observer, nd *node) bool) time.Duration {
-	for d := time.Duration(0); ; d += 100 * time.Millisecond {
+	for d := time.Duration(0); ; d += n.interval {
 		why := n.difference(sees)
 		if why == "" {
 			return d
@@ -264,6 +278,6 @@
 		if d >= limit {
 			n.t.Fatalf("views differ after %v: %s", limit, why)
 		}
-		n.run(100 * time.Millisecond)
+		n.run(n.interval)
 	}
 }
