Check incarnations of processes with the own ID, and add directed tests

Cause: the bound on incarnations was missing for messages from a process with the own ID (found after 32 checks once the highest value was drawn often). Ruled out: raising the default number of checks; the directed tests take milliseconds. Change: one plausibility check for all entries; tests for records that outlive their delegates, domains that cannot correct what others hold of them, dead entries of another domain, and old views. Conclusion: each of those rules fails a directed test when it is taken out, except the own entry in heartbeats to a domain that is not heard (only the churn test, long runs).

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"runtime/debug"
 	"testing"
 	"time"
@@ -466,6 +467,62 @@
 	n.converge(time.Second, nil)
 }
 
+// Guards against a domain that stays reachable because the delegates that heard it have
+// died with it, or because a delayed record says so.
+func TestRecordOutlivesItsDelegates(t *testing.T) {
+	n := newNetwork(t, 33, 2, 5)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	n.run(2 * time.Second)
+	for _, d := range n.nodes[0].own.delegates {
+		n.byAddr[d.PeerAddress].up = false
+	}
+	for _, nd := range n.nodes[5:] {
+		nd.up = false
+	}
+	here := func(_, nd *node) bool { return nd.inst.Domain == "dom00" }
+	n.converge(10*time.Second, here)
+	late := &peerpb.Member{Domain: "dom01", Incarnation: uint64(n.now.UnixMilli())}
+	for _, nd := range n.live() {
+		n.call(nd, func() []Action {
+			return nd.Receive(n.now, "x", &peerpb.Membership{Updates: []*peerpb.Member{late}})
+		})
+	}
+	if n.difference(here) == "" {
+		t.Error("the record was not accepted")
+	}
+	n.converge(10*time.Second, here)
+}
+
+// Guards against an instance that other domains hold for dead although it lives (a part
+// of its domain said so and died), and the other way round (its domain never saw its last
+// incarnation).
+func TestDomainThatCannotCorrectItself(t *testing.T) {
+	n := newNetwork(t, 35, 2, 3)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	lone := n.nodes[0]
+	n.cut = func(a, b *node) bool { return (a == lone) != (b == lone) }
+	n.run(5 * time.Second)
+	n.nodes[1].up, n.nodes[2].up = false, false
+	n.cut = nil
+	n.converge(15*time.Second, nil)
+
+	n = newNetwork(t, 37, 2, 2)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	fresh := n.start("dom00-00", "dom00", n.nodes[0].inst.PeerAddress)
+	n.cut = func(a, b *node) bool { return a == fresh && b == n.nodes[1] || a == n.nodes[1] && b == fresh }
+	n.call(fresh, func() []Action { return fresh.Hint(n.now, n.list()) })
+	n.run(2 * time.Second)
+	if e, _ := n.nodes[2].View().Member("dom00-00"); e.Incarnation != fresh.self.Incarnation {
+		t.Fatalf("other domain has incarnation %d", e.Incarnation)
+	}
+	fresh.up = false
+	n.nodes[1].queue = nil // lost gossip
+	n.converge(20*time.Second, nil)
+}
+
 // Guards against state that grows with what peers send, and against lookups that
 // allocate.
 func TestBoundsAndAllocations(t *testing.T) {
@@ -504,7 +561,7 @@
 // incarnation or take it out of its own view.
 func TestArbitraryMessages(t *testing.T) {
 	names := rapid.SampledFrom([]string{"", "dom00", "dom01", "dom00-00", "dom00-01", "dom01-00", "other"})
-	numbers := rapid.OneOf(rapid.Uint64Range(0, 3), rapid.Uint64Range(1_699_999_999_999, 1_700_000_000_003), rapid.Uint64())
+	numbers := rapid.OneOf(rapid.Uint64Range(0, 3), rapid.Uint64Range(1_699_999_999_999, 1_700_000_000_003), rapid.Just(uint64(math.MaxUint64)))
 	members := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *peerpb.Member {
 		return &peerpb.Member{Id: names.Draw(t, "id"), Domain: names.Draw(t, "domain"), PeerAddress: names.Draw(t, "address"),
 			Weight: uint32(numbers.Draw(t, "weight")), Incarnation: numbers.Draw(t, "incarnation"),
@@ -532,6 +589,24 @@
 	})
 }
 
+// Guards against an entry that makes a machine forget an incarnation that it has seen.
+func TestDeadEntryOfAnotherDomain(t *testing.T) {
+	n := newNetwork(t, 31, 1, 2)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	u := n.nodes[1].self.wire(true, true)
+	u.Domain, u.State = "dom77", uint32(rankDead)
+	u.Incarnation++
+	old := n.nodes[1].self.wire(true, true)
+	old.Incarnation = 1
+	n.call(n.nodes[0], func() []Action {
+		return n.nodes[0].Receive(n.now, "x", &peerpb.Membership{Updates: []*peerpb.Member{u, old}})
+	})
+	if e, _ := n.nodes[0].View().Member(u.Id); e.Incarnation != u.Incarnation || e.Domain != "dom00" {
+		t.Errorf("entry is %v", e)
+	}
+}
+
 // Guards against a view that changes while other goroutines read it (race detector).
 func TestViewIsImmutable(t *testing.T) {
 	n := newNetwork(t, 29, 2, 6)
@@ -540,19 +615,25 @@
 	for i := range 20 {
 		v := n.nodes[0].View()
 		entry, _ := v.Member("dom01-03")
-		done := make(chan bool)
+		stop, done := make(chan bool), make(chan bool)
 		go func() {
-			same := true
-			for key := range uint64(2000) {
-				v.Holder(key)
-				e, ok := v.Member("dom01-03")
-				same = same && ok && e == entry
+			for same := true; ; {
+				select {
+				case <-stop:
+					done <- same
+					return
+				default:
+					v.Holder(1)
+					e, ok := v.Member("dom01-03")
+					same = same && ok && e == entry
+				}
 			}
-			done <- same
 		}()
 		n.nodes[9].SetConfigVersion(uint64(i + 1))
 		n.nodes[9].paused = i%4 > 1
 		n.run(time.Second)
+		n.nodes[0].View()
+		close(stop)
 		if !<-done {
 			t.Fatal("an old view has changed")
 		}
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -24,8 +24,7 @@
 // merge applies an update. For one incarnation the worst rank wins, and a higher
 // incarnation replaces everything, so that the order of updates does not matter.
 func (m *Machine) merge(now time.Time, u *peerpb.Member, src source) {
-	if len(u.GetId()) > maxNameLen || len(u.GetDomain()) > maxNameLen || len(u.GetPeerAddress()) > maxNameLen ||
-		u.GetIncarnation() > maxIncarnation {
+	if !plausible(u) {
 		return
 	}
 	switch u.GetId() {
@@ -55,6 +54,11 @@
 	m.mergeInto(now, mb, u, r, src)
 }
 
+func plausible(u *peerpb.Member) bool {
+	return len(u.GetId()) <= maxNameLen && len(u.GetDomain()) <= maxNameLen &&
+		len(u.GetPeerAddress()) <= maxNameLen && u.GetIncarnation() <= maxIncarnation
+}
+
 func wireRankOf(u *peerpb.Member) rank { return min(rank(u.GetState()&wireRank), rankDead) }
 
 // moved reports that an instance was started again in another domain.
--- a/membership/rival.go
+++ b/membership/rival.go
@@ -85,7 +85,7 @@
 
 func entryOf(msg *peerpb.Membership, id string) *peerpb.Member {
 	for _, u := range msg.GetUpdates() {
-		if u.GetId() == id && u.GetPeerAddress() != "" {
+		if u.GetId() == id && u.GetPeerAddress() != "" && plausible(u) {
 			return u
 		}
 	}
