--- a/cmd/monsoonthreadd/main.go
+++ b/cmd/monsoonthreadd/main.go
@@ -15,6 +15,7 @@
 	"github.com/monsoonthread/monsoonthread/internal/logging"
 	"github.com/monsoonthread/monsoonthread/internal/security"
 	"github.com/monsoonthread/monsoonthread/internal/settings"
+	"github.com/monsoonthread/monsoonthread/result"
 )
 
 // version is set at build time with -ldflags "-X main.version=...".
@@ -29,6 +30,9 @@
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "monsoonthreadd:", err)
+		if result.CodeOf(err) == result.SettingsInvalid {
+			os.Exit(exitSettings)
+		}
 		os.Exit(exitError)
 	}
 }
@@ -45,14 +49,15 @@
 		SilenceErrors: true,
 	}
 	s.AddFlags(c.Flags())
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return result.Errorf(result.SettingsInvalid, "%w", err)
+	})
 	c.RunE = func(cmd *cobra.Command, _ []string) error {
 		if err := settings.ApplyEnvironment(cmd.Flags()); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(exitSettings)
+			return err
 		}
 		if err := s.Check(); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(exitSettings)
+			return err
 		}
 		return run(s)
 	}
@@ -74,6 +79,9 @@
 	if creds.Client, err = security.ClientCredentials(s.TLSCert, s.TLSKey, s.TLSCA); err != nil {
 		return err
 	}
+	if creds.Platform, err = security.Transport(s.TLSCert, s.TLSKey, s.TLSCA); err != nil {
+		return err
+	}
 	d, err := daemon.New(s, log, creds)
 	if err != nil {
 		return err
--- a/internal/ctl/inforce.go
+++ b/internal/ctl/inforce.go
@@ -93,7 +93,11 @@
 				return err
 			}
 			if version == 0 && a.store != "" {
-				if version, err = a.acceptedVersion(c.Context()); err != nil {
+				version, err = a.acceptedVersion(c.Context())
+				if result.CodeOf(err) == result.StoreUnavailable {
+					// The instances know the version too, and answer in an outage.
+					a.progress("the key-value service is not available; showing the highest version that an instance knows: %v", err)
+				} else if err != nil {
 					return err
 				}
 			}
--- a/internal/ctl/questionnaire.go
+++ b/internal/ctl/questionnaire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -237,6 +238,10 @@
 			defer cancel()
 			acceptor := &config.Acceptor{Store: store, Resume: tried, Progress: a.acceptProgress}
 			version, err := acceptor.Accept(ctx, p.Config, p.Base, p.AcceptID)
+			if result.CodeOf(err) == result.ConfigConflict && !tried {
+				p.Tried = false // it certainly did not take effect and can be rejected
+				return errors.Join(err, p.write(args[0]))
+			}
 			if err != nil {
 				return err
 			}
--- a/internal/daemon/backendedge.go
+++ b/internal/daemon/backendedge.go
@@ -37,6 +37,7 @@
 	server   config.BackendServer
 	grant    uint64
 	socket   int
+	message  *edge.Message
 	datagram []byte
 	id       uint16
 	token    uint64
@@ -207,7 +208,7 @@
 		b.daemon.violation("backend_request_encodes", err.Error())
 		return false
 	}
-	x.datagram = datagram
+	x.message, x.datagram = m, datagram
 	b.byToken[x.token] = x
 	b.byMessage[messageKey{x.server.Address, socket, id}] = x.token
 	if x.grant != 0 {
@@ -250,6 +251,9 @@
 		return
 	}
 	resend := !x.acked && now.Before(x.resendUntil) && !b.daemon.members.fenced(now)
+	if resend {
+		x.refreshDeadline(now)
+	}
 	x.delay *= 2
 	x.timer.Reset(min(x.delay, x.deadline.Sub(now)))
 	b.mu.Unlock()
@@ -259,6 +263,19 @@
 	}
 }
 
+// refreshDeadline states the time that is left in a retransmission. With the time of
+// the first transmission, a server that lost that one would run past the deadline, when
+// its slot counts as free again.
+func (x *backendExchange) refreshDeadline(now time.Time) {
+	if _, ok := x.message.Deadline(); !ok {
+		return
+	}
+	x.message.SetDeadline(uint32(max(x.deadline.Sub(now).Milliseconds(), 1)))
+	if datagram, err := x.message.Encode(); err == nil {
+		x.datagram = datagram
+	}
+}
+
 // remove forgets an exchange. b.mu is held.
 func (b *backendEdge) remove(x *backendExchange) {
 	x.timer.Stop()
@@ -335,6 +352,9 @@
 		o = nil
 	}
 	b.mu.Unlock()
+	if o != nil && b.daemon.cutsServerNamed(o.server) {
+		return
+	}
 	if m.Type == edge.Confirmable {
 		b.acknowledge(socket, from, m, x != nil || o != nil)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"fmt"
 	randv2 "math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 // Credentials are the transport credentials of gRPC.
 type Credentials struct {
 	Server, Client credentials.TransportCredentials
+	// Platform is the transport towards the platform; nil means plain HTTP.
+	Platform http.RoundTripper
 }
 
 // Daemon is one entry instance.
@@ -79,11 +82,12 @@
 	list       *platform.List
 	follower   *config.Follower
 
-	peers  *peer.Transport
-	grpc   *grpc.Server
-	fabric *net.UDPConn
-	answer netip.AddrPort
-	jobs   chan []byte
+	peers       *peer.Transport
+	grpc        *grpc.Server
+	platformTLS http.RoundTripper
+	fabric      *net.UDPConn
+	answer      netip.AddrPort
+	jobs        chan []byte
 
 	life     *lifecycle
 	faults   faults
@@ -94,6 +98,9 @@
 // New returns a daemon that has opened its sockets and does not serve yet.
 func New(s settings.Settings, log zerolog.Logger, creds Credentials) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, clock: timeline.NewClock(time.Now), jobs: make(chan []byte, jobQueue), seed: int64(s.Seed)}
+	if d.platformTLS = creds.Platform; d.platformTLS == nil {
+		d.platformTLS = http.DefaultTransport
+	}
 	if d.seed == 0 {
 		d.seed = int64(randomUint64())
 	}
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -200,7 +200,7 @@
 		if rec.Server == "" {
 			return ""
 		}
-		if server := r.servers[rec.Server]; server != nil && !server.Leaving && !d.notices.unavailable(rec.Server) {
+		if server := r.servers[rec.Server]; server != nil && !server.Leaving && !d.notices.unavailable(rec.Server) && reaches(r.view, server.Domain) {
 			return rec.Server
 		}
 		svc := r.byID[rec.ServiceID]
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -66,6 +66,12 @@
 // cutsServer reports whether packets to backend servers of a domain are dropped.
 func (f *faults) cutsServer(domain string) bool { return f.cutsDomain(domain) }
 
+// cutsServerNamed reports whether packets from a backend server are dropped.
+func (d *Daemon) cutsServerNamed(name string) bool {
+	server := d.routes.Load().servers[name]
+	return server != nil && d.faults.cutsServer(server.Domain)
+}
+
 func (f *faults) platformCut() bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -75,7 +81,7 @@
 // platformTransport is the transport towards the platform. It names the failure
 // domain, and fails while the platform is cut off.
 func (d *Daemon) platformTransport() http.RoundTripper {
-	return roundTripper{daemon: d, base: http.DefaultTransport}
+	return roundTripper{daemon: d, base: d.platformTLS}
 }
 
 type roundTripper struct {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -102,8 +102,10 @@
 		case membership.ViewChanged:
 			d.viewChanged(a.View)
 		case membership.Rejoined:
-			// The issuer keeps its permits: they were given and are verified by this
-			// process alone, so a pause cannot let another instance run them.
+			// Others declared this instance dead and dispatch its servers by now. The
+			// issuer keeps its permits: they were given and are verified by this process
+			// alone, so a pause cannot let another instance run them.
+			d.reacquire()
 			d.event("instance_rejoined", timeline.Field{Key: logging.Incarnation, Value: strconv.FormatUint(a.Incarnation, 10)})
 		case membership.HigherConfig:
 			d.follower.Heard(a.From, a.Version)
@@ -117,6 +119,18 @@
 	}
 }
 
+// reacquire gives up all servers and acquires those that are computed for this
+// instance again.
+func (d *Daemon) reacquire() {
+	now := time.Now()
+	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.Fence(now) })
+	d.members.viewMu.Lock()
+	defer d.members.viewMu.Unlock()
+	if r := d.routes.Load(); r != nil {
+		d.schedulers.update(r, now)
+	}
+}
+
 // viewChanged recomputes ownership after a change of membership.
 func (d *Daemon) viewChanged(v *membership.View) {
 	d.members.viewMu.Lock()
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -497,12 +497,13 @@
 // health endpoint must not end every stream of a service.
 func (t *streamTable) computedServer(svc *service, hash uint64, skip []string) string {
 	fallback := ""
+	view := t.daemon.routes.Load().view
 	for _, i := range placement.Rank(hash, svc.members, nil) {
 		name := svc.members[i].ID
 		if contains(skip, name) || svc.BackendServers[i].Leaving {
 			continue
 		}
-		if !t.daemon.notices.unavailable(name) {
+		if !t.daemon.notices.unavailable(name) && reaches(view, svc.BackendServers[i].Domain) {
 			return name
 		}
 		if fallback == "" && !t.daemon.notices.leaves(name) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,13 +98,14 @@
 }
 
 // ApplyEnvironment sets each flag that is not on the command line from its
-// environment variable. It returns every value that a flag does not accept.
+// environment variable, if that is not empty. It returns every value that a flag does
+// not accept.
 func ApplyEnvironment(f *pflag.FlagSet) error {
 	var errs []error
 	f.VisitAll(func(flag *pflag.Flag) {
 		name := EnvName(flag.Name)
 		value, ok := os.LookupEnv(name)
-		if !ok || flag.Changed {
+		if !ok || value == "" || flag.Changed {
 			return
 		}
 		if err := f.Set(flag.Name, value); err != nil {
--- a/membership/domains.go
+++ b/membership/domains.go
@@ -134,7 +134,7 @@
 		d.record = max(d.record+1, uint64(max(now.UnixMilli(), 0)))
 		m.setReachable(now, d, evidence)
 		m.enqueueRecord(d)
-		m.diagnose("membership-domain", Field{"domain", d.name}, Field{"reachable", boolName(evidence)})
+		m.diagnose("membership_domain", Field{"domain", d.name}, Field{"reachable", boolName(evidence)})
 	}
 }
 
--- a/membership/hint.go
+++ b/membership/hint.go
@@ -50,7 +50,7 @@
 		case !l.Leaving:
 			m.listedSelf = true
 		case m.listedSelf && !m.self.leaving:
-			m.diagnose("membership-listed-leaving")
+			m.diagnose("membership_listed_leaving")
 			m.leave(now)
 		}
 	}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -273,7 +273,7 @@
 func (m *Machine) fence(now time.Time, gap time.Duration) {
 	m.fenced, m.fencedSince = true, now
 	m.probes = m.probes[:0]
-	m.diagnose("membership-fenced", Field{"gap_ms", strconv.FormatInt(gap.Milliseconds(), 10)})
+	m.diagnose("membership_fenced", Field{"gap_ms", strconv.FormatInt(gap.Milliseconds(), 10)})
 	if m.rival != nil {
 		return // the other process keeps the higher incarnation
 	}
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -185,7 +185,7 @@
 	case r == rankDead && inc >= m.rejoined && !m.fenced && m.rival == nil:
 		// Others have taken over what this instance owns, even if it has refuted a
 		// suspicion since.
-		m.diagnose("membership-declared-dead")
+		m.diagnose("membership_declared_dead")
 		m.raise(m.self.Incarnation + 1)
 		m.rejoin()
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -110,7 +110,7 @@
 			m.probeIndirectly(p)
 		}
 		if !now.Before(p.deadline) && p.target.rank == rankAlive {
-			m.diagnose("membership-suspect", Field{"instance", p.target.ID})
+			m.diagnose("membership_suspect", Field{"instance", p.target.ID})
 			m.suspect(now, p.target)
 		}
 	}
@@ -247,7 +247,7 @@
 	elapsed := now.Sub(mb.suspectAt)
 	switch {
 	case elapsed >= m.cfg.SuspicionTimeout:
-		m.diagnose("membership-dead", Field{"instance", mb.ID})
+		m.diagnose("membership_dead", Field{"instance", mb.ID})
 		m.bury(now, mb)
 		m.enqueue(mb, false, false)
 	case elapsed*suspectPings >= m.cfg.SuspicionTimeout*time.Duration(mb.suspectPings):
--- a/membership/rival.go
+++ b/membership/rival.go
@@ -34,7 +34,7 @@
 
 func (m *Machine) yield(now time.Time, u *peerpb.Member) {
 	if m.rival == nil {
-		m.diagnose("membership-duplicate-id", Field{"address", u.GetPeerAddress()},
+		m.diagnose("membership_duplicate_id", Field{"address", u.GetPeerAddress()},
 			Field{"incarnation", strconv.FormatUint(u.GetIncarnation(), 10)})
 		m.rival = &rival{seen: now}
 		m.probes = m.probes[:0]
--- a/result/result.go
+++ b/result/result.go
@@ -65,7 +65,6 @@
 	DigestMismatch       Code = 405
 	ConfigTooLarge       Code = 406
 	AcceptUnresolved     Code = 407
-	ProposalRejected     Code = 408
 
 	StoreUnavailable Code = 501
 	StoreConflict    Code = 502
