Let the test of outlived records start when nothing is presumed

Ruled out: a fault in the rule itself. Change: the test waits 10 s of virtual time before the late record.

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -482,6 +482,7 @@
 	}
 	here := func(_, nd *node) bool { return nd.inst.Domain == "dom00" }
 	n.converge(10*time.Second, here)
+	n.run(10 * time.Second) // nothing is presumed any more
 	late := &peerpb.Member{Domain: "dom01", Incarnation: uint64(n.now.UnixMilli())}
 	for _, nd := range n.live() {
 		n.call(nd, func() []Action {
