--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -104,11 +104,3 @@
 		}
 	}
 }
-
-func BenchmarkRecord(b *testing.B) {
-	r := NewRing(NewClock(time.Now), "a", 4096)
-	b.ReportAllocs()
-	for b.Loop() {
-		r.Record("membership-suspect", Field{"instance", "a"})
-	}
-}
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -44,9 +44,7 @@
 
 // BenchmarkTick runs one machine of 70 whose peers answer every ping.
 func BenchmarkTick(b *testing.B) {
-	n := newNetwork(b, 1, 1, 70)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(b, 1, 1, 70)
 	n.run(10 * time.Second)
 	nd, now := n.nodes[0], n.now
 	b.ReportAllocs()
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -76,9 +76,7 @@
 		maxDeclared  int
 		maxIntervals int
 	}{{0.2, 2, 20}, {0.3, 10, 30}} {
-		n := newNetwork(t, 3, 1, 30)
-		n.hintAll()
-		n.converge(10*time.Second, nil)
+		n := started(t, 3, 1, 30)
 		n.loss, n.maxDelay = c.loss, 3
 		deadFor := map[string]int{}
 		longest, declared := 0, 0
@@ -108,9 +106,7 @@
 
 // Guards against a suspicion because of one broken connection.
 func TestIndirectProbePreventsSuspicion(t *testing.T) {
-	n := newNetwork(t, 4, 1, 5)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 4, 1, 5)
 	a, b := n.nodes[0], n.nodes[1]
 	n.cut = func(x, y *node) bool { return x == a && y == b || x == b && y == a }
 	n.run(30 * time.Second)
@@ -124,9 +120,7 @@
 // Guards against a crashed instance that stays in the placement or in the views.
 func TestCrashedInstanceIsRemoved(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		n := newNetwork(rt, rapid.Int64().Draw(rt, "seed"), 1, rapid.IntRange(2, 40).Draw(rt, "members"))
-		n.hintAll()
-		n.converge(10*time.Second, nil)
+		n := started(rt, rapid.Int64().Draw(rt, "seed"), 1, rapid.IntRange(2, 40).Draw(rt, "members"))
 		n.loss = rapid.Float64Range(0, 0.05).Draw(rt, "loss")
 		n.nodes[0].up = false
 		n.converge(5*time.Second, nil)
@@ -142,9 +136,7 @@
 // Guards against flows that are sent to a domain that is cut off, and against a cut
 // that outlasts the network failure. Members that died or came during the cut count.
 func TestDomainCutAndHeal(t *testing.T) {
-	n := newNetwork(t, 5, 3, 6)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 5, 3, 6)
 	n.run(5 * time.Second)
 	n.cut = func(a, b *node) bool { return (a.inst.Domain == "dom00") != (b.inst.Domain == "dom00") }
 	n.nodes[1].up = false
@@ -163,9 +155,7 @@
 // kill the members of both when they do, or that do not learn of their takeover.
 func TestSplitInsideDomainHeals(t *testing.T) {
 	for i, length := range []time.Duration{20 * time.Second, 100 * time.Second, 20 * time.Second, 20 * time.Second, 20 * time.Second} {
-		n := newNetwork(t, int64(20+i), 1, 10)
-		n.hintAll()
-		n.converge(10*time.Second, nil)
+		n := started(t, int64(20+i), 1, 10)
 		half := map[*node]bool{}
 		for _, nd := range n.nodes[:4] {
 			half[nd] = true
@@ -202,9 +192,7 @@
 // pause before it is fenced, and against a rejoin without a higher incarnation.
 func TestPauseFencesFirst(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		n := newNetwork(rt, rapid.Int64().Draw(rt, "seed"), rapid.IntRange(1, 2).Draw(rt, "domains"), rapid.IntRange(1, 8).Draw(rt, "members"))
-		n.hintAll()
-		n.converge(10*time.Second, nil)
+		n := started(rt, rapid.Int64().Draw(rt, "seed"), rapid.IntRange(1, 2).Draw(rt, "domains"), rapid.IntRange(1, 8).Draw(rt, "members"))
 		nd := n.nodes[0]
 		before := nd.self.Incarnation
 		nd.paused = true
@@ -246,9 +234,7 @@
 // Guards against an instance that blames others for a pause of its own that is too short
 // for the fence.
 func TestShortPauseBlamesNobody(t *testing.T) {
-	n := newNetwork(t, 8, 1, 6)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 8, 1, 6)
 	for range 100 {
 		nd := n.nodes[n.rng.Intn(6)]
 		nd.actions, nd.paused = nil, true
@@ -265,9 +251,7 @@
 // when its wall clock was set back.
 func TestRestartWithSameID(t *testing.T) {
 	for _, back := range []time.Duration{0, time.Hour} {
-		n := newNetwork(t, 9, 2, 5)
-		n.hintAll()
-		n.converge(10*time.Second, nil)
+		n := started(t, 9, 2, 5)
 		old := n.nodes[0]
 		n.now = n.now.Add(-back)
 		nd := n.start(old.inst.ID, old.inst.Domain, old.inst.PeerAddress)
@@ -325,9 +309,7 @@
 // Guards against a process whose wall clock was set back and that serves besides the one
 // that has its ID.
 func TestEarlierIncarnationAtAnotherAddress(t *testing.T) {
-	n := newNetwork(t, 12, 1, 4)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 12, 1, 4)
 	n.now = n.now.Add(-time.Hour)
 	second := n.start(n.nodes[0].inst.ID, "dom00", "10.0.9.9:7000")
 	n.now = n.now.Add(time.Hour)
@@ -342,9 +324,7 @@
 // Guards against new flows at a leaving instance, and against one that leaves because of
 // an old list entry.
 func TestLeaving(t *testing.T) {
-	n := newNetwork(t, 13, 3, 8)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 13, 3, 8)
 	leaving := map[*node]bool{n.nodes[0]: true, n.nodes[9]: true}
 	n.call(n.nodes[0], func() []Action { return n.nodes[0].Leave(n.now) })
 	list := n.list()
@@ -364,9 +344,7 @@
 // Guards against a list that removes answering instances, or whose mark of a leaving
 // instance is ignored when that one also fails to answer.
 func TestListIsOnlyAHint(t *testing.T) {
-	n := newNetwork(t, 15, 2, 4)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 15, 2, 4)
 	list := n.list()
 	for i := range list {
 		list[i].Leaving = i != 0
@@ -417,9 +395,7 @@
 // Guards against a takeover of servers whose domain may be cut off and dispatching, and
 // against servers that nobody dispatches when the domain is gone.
 func TestDispatcherOfVacantDomain(t *testing.T) {
-	n := newNetwork(t, 19, 3, 3)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 19, 3, 3)
 	o := n.nodes[0]
 	listed := n.list()
 	for _, nd := range n.nodes[6:] {
@@ -449,9 +425,7 @@
 
 // Guards against a domain that counts as unreachable because both its delegates crashed.
 func TestBothDelegatesCrash(t *testing.T) {
-	n := newNetwork(t, 21, 3, 8)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 21, 3, 8)
 	n.run(2 * time.Second)
 	for _, d := range n.nodes[0].own.delegates {
 		n.byAddr[d.PeerAddress].up = false
@@ -470,9 +444,7 @@
 // Guards against a domain that stays reachable because the delegates that heard it have
 // died with it, or because a delayed record says so.
 func TestRecordOutlivesItsDelegates(t *testing.T) {
-	n := newNetwork(t, 33, 2, 5)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 33, 2, 5)
 	n.run(2 * time.Second)
 	for _, d := range n.nodes[0].own.delegates {
 		n.byAddr[d.PeerAddress].up = false
@@ -499,9 +471,7 @@
 // of its domain said so and died), and the other way round (its domain never saw its last
 // incarnation).
 func TestDomainThatCannotCorrectItself(t *testing.T) {
-	n := newNetwork(t, 35, 2, 3)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 35, 2, 3)
 	lone := n.nodes[0]
 	n.cut = func(a, b *node) bool { return (a == lone) != (b == lone) }
 	n.run(5 * time.Second)
@@ -509,9 +479,7 @@
 	n.cut = nil
 	n.converge(15*time.Second, nil)
 
-	n = newNetwork(t, 37, 2, 2)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n = started(t, 37, 2, 2)
 	fresh := n.start("dom00-00", "dom00", n.nodes[0].inst.PeerAddress)
 	n.cut = func(a, b *node) bool { return a == fresh && b == n.nodes[1] || a == n.nodes[1] && b == fresh }
 	n.call(fresh, func() []Action { return fresh.Hint(n.now, n.list()) })
@@ -527,9 +495,7 @@
 // Guards against state that grows with what peers send, and against lookups that
 // allocate.
 func TestBoundsAndAllocations(t *testing.T) {
-	n := newNetwork(t, 23, 3, 8)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 23, 3, 8)
 	n.run(20 * time.Second)
 	nd := n.nodes[0]
 	if len(nd.queue) > 0 {
@@ -592,9 +558,7 @@
 
 // Guards against an entry that makes a machine forget an incarnation that it has seen.
 func TestDeadEntryOfAnotherDomain(t *testing.T) {
-	n := newNetwork(t, 31, 1, 2)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 31, 1, 2)
 	u := n.nodes[1].self.wire(true, true)
 	u.Domain, u.State = "dom77", uint32(rankDead)
 	u.Incarnation++
@@ -610,9 +574,7 @@
 
 // Guards against a view that changes while other goroutines read it (race detector).
 func TestViewIsImmutable(t *testing.T) {
-	n := newNetwork(t, 29, 2, 6)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 29, 2, 6)
 	for i := range 20 {
 		v := n.nodes[0].View()
 		entry, _ := v.Member("dom01-03")
@@ -643,9 +605,7 @@
 
 // Guards against lookups that are inconsistent with each other or between instances.
 func TestLookupsAgree(t *testing.T) {
-	n := newNetwork(t, 25, 3, 5)
-	n.hintAll()
-	n.converge(10*time.Second, nil)
+	n := started(t, 25, 3, 5)
 	for key := range uint64(2000) {
 		key *= 0x9e3779b97f4a7c15
 		h, _ := n.nodes[0].View().Holder(key)
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -67,7 +67,7 @@
 
 func newNetwork(t fataler, seed int64, domains, members int) *network {
 	n := &network{t: t, now: time.UnixMilli(1_700_000_000_000), rng: rand.New(rand.NewSource(seed)),
-		byAddr: map[string]*node{}, due: map[int][]delivery{}, interval: 100 * time.Millisecond}
+		byAddr: map[string]*node{}, due: map[int][]delivery{}, workers: 1, interval: 100 * time.Millisecond}
 	for d := range domains {
 		n.domains = append(n.domains, DomainConfig{fmt.Sprintf("dom%02d", d), 100})
 	}
@@ -79,6 +79,14 @@
 	return n
 }
 
+// started returns a network whose views have converged.
+func started(t fataler, seed int64, domains, members int) *network {
+	n := newNetwork(t, seed, domains, members)
+	n.hintAll()
+	n.converge(10*time.Second, nil)
+	return n
+}
+
 // start runs a new process; an earlier one at the address is replaced.
 func (n *network) start(id, domain, addr string) *node {
 	inst := Instance{ID: id, Domain: domain, PeerAddress: addr, Weight: 100}
@@ -224,12 +232,6 @@
 }
 
 func (n *network) parallel(f func(nd *node)) {
-	if n.workers <= 1 {
-		for _, nd := range n.nodes {
-			f(nd)
-		}
-		return
-	}
 	var wg sync.WaitGroup
 	size := (len(n.nodes) + n.workers - 1) / n.workers
 	for part := range slices.Chunk(n.nodes, size) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -95,12 +95,19 @@
 }
 
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{3, 19, 70} {
-		members := make([]Member, n)
+	equal := func(int) uint32 { return 100 }
+	for _, c := range []struct {
+		name   string
+		n      int
+		weight func(i int) uint32
+	}{{"3", 3, equal}, {"19", 19, equal}, {"70", 70, equal},
+		{"70sorted", 70, func(i int) uint32 { return uint32(1 + i/9) }}, // eight sizes, as in a view
+		{"70unsorted", 70, func(i int) uint32 { return uint32(1 + i%8) }}} {
+		members := make([]Member, c.n)
 		for i := range members {
-			members[i] = NewMember(fmt.Sprint("m", i), 100)
+			members[i] = NewMember(fmt.Sprint("m", i), c.weight(i))
 		}
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
+		b.Run(c.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
 				Pick(uint64(i)*0x9e3779b97f4a7c15, members)
@@ -108,33 +115,3 @@
 		})
 	}
 }
-
-// Eight instance sizes, sorted by weight as in a view and unsorted.
-func BenchmarkPickMixedWeights(b *testing.B) {
-	for name, weight := range map[string]func(i int) uint32{
-		"sorted":   func(i int) uint32 { return uint32(1 + i/9) },
-		"unsorted": func(i int) uint32 { return uint32(1 + i%8) },
-	} {
-		members := make([]Member, 70)
-		for i := range members {
-			members[i] = NewMember(fmt.Sprint("m", i), weight(i))
-		}
-		b.Run(name, func(b *testing.B) {
-			b.ReportAllocs()
-			for i := range b.N {
-				Pick(uint64(i)*0x9e3779b97f4a7c15, members)
-			}
-		})
-	}
-}
-
-func BenchmarkTop2(b *testing.B) {
-	members := make([]Member, 70)
-	for i := range members {
-		members[i] = NewMember(fmt.Sprint("m", i), 100)
-	}
-	b.ReportAllocs()
-	for i := range b.N {
-		Top2(uint64(i)*0x9e3779b97f4a7c15, members)
-	}
-}
