--- a/membership/merge.go
+++ b/membership/merge.go
@@ -18,10 +18,14 @@
 // maxNameLen bounds IDs, domain names and addresses that peers can make a machine store.
 const maxNameLen = 255
 
+// maxIncarnation leaves room for counting up; milliseconds of wall time are below 1<<48.
+const maxIncarnation = 1 << 62
+
 // merge applies an update. For one incarnation the worst rank wins, and a higher
 // incarnation replaces everything, so that the order of updates does not matter.
 func (m *Machine) merge(now time.Time, u *peerpb.Member, src source) {
-	if len(u.GetId()) > maxNameLen || len(u.GetDomain()) > maxNameLen || len(u.GetPeerAddress()) > maxNameLen {
+	if len(u.GetId()) > maxNameLen || len(u.GetDomain()) > maxNameLen || len(u.GetPeerAddress()) > maxNameLen ||
+		u.GetIncarnation() > maxIncarnation {
 		return
 	}
 	switch u.GetId() {
@@ -55,7 +59,7 @@
 
 // moved reports that an instance was started again in another domain.
 func (m *Machine) moved(mb *member, u *peerpb.Member) bool {
-	return u.GetPeerAddress() != "" && u.GetIncarnation() > mb.Incarnation && m.domainOf(u) != mb.d.name
+	return u.GetPeerAddress() != "" && wireRankOf(u) != rankDead && u.GetIncarnation() > mb.Incarnation && m.domainOf(u) != mb.d.name
 }
 
 // domainOf returns the domain of an update, which is left out for the own domain.
@@ -104,11 +108,13 @@
 	case r == rankDead && mb.rank != rankDead && src == fromSync && mb.d == m.own:
 		// A peer from the other side of a partition that has healed holds the members of
 		// this side for dead. They are told, and get the time to refute it.
-		m.send(mb.Instance, &peerpb.Membership{Kind: kindNotice, ConfigVersion: m.config,
-			Updates: []*peerpb.Member{{Id: mb.ID, Incarnation: u.GetIncarnation(), State: uint32(rankDead)}}})
+		m.notifyDead(mb)
 		if mb.rank != rankSuspect {
 			m.suspect(now, mb)
 		}
+	case r != rankDead && mb.rank == rankDead && src == fromDomain:
+		// A part of its domain that has died since had declared it dead.
+		m.notifyDead(mb)
 	case r == rankDead && mb.rank != rankDead:
 		m.bury(now, mb)
 		changed = true
@@ -124,6 +130,12 @@
 	}
 }
 
+// notifyDead tells an instance that its incarnation was declared dead.
+func (m *Machine) notifyDead(mb *member) {
+	m.send(mb.Instance, &peerpb.Membership{Kind: kindNotice, ConfigVersion: m.config,
+		Updates: []*peerpb.Member{{Id: mb.ID, Incarnation: mb.Incarnation, State: uint32(rankDead)}}})
+}
+
 // mergeAddress adopts an address. Two processes that claim the same incarnation are
 // told apart by the higher address, so that all views choose the same one.
 func (mb *member) mergeAddress(u *peerpb.Member) bool {
