Hold datagrams while the configuration may be behind

Ruled out: fencing at any gap (it would give up servers at each slow tick), checks at other instances (the stopped one was holder and dispatcher itself).

--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -63,6 +63,7 @@
 		case <-ctx.Done():
 			return
 		case datagram := <-d.jobs:
+			d.awaitFresh(ctx)
 			d.handleDatagram(datagram)
 		}
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -39,6 +39,7 @@
 	claimed      atomic.Bool // settled: servers without a dispatcher were taken
 	suspicion    time.Duration
 
+	fresh    freshness
 	viewMu   sync.Mutex // serializes the processing of views
 	joined   bool       // guarded by viewMu; see join.go
 	joinedAt time.Time  // guarded by viewMu
@@ -78,6 +79,7 @@
 }
 
 func (d *Daemon) tickMembership(now time.Time) {
+	d.members.fresh.tick(now.Sub(d.members.base))
 	if d.members.fenced(now) && d.members.rejoin.CompareAndSwap(false, true) {
 		d.event("instance_fenced", timeline.Field{Key: logging.Reason, Value: "gap in the own clock"})
 		d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.Fence(now) })
@@ -281,6 +283,7 @@
 	case *peerpb.Envelope_DispatchResult:
 		d.handleDispatchResult(from, b.DispatchResult)
 	case *peerpb.Envelope_Membership:
+		d.members.fresh.heard(time.Since(d.members.base), b.Membership.ConfigVersion)
 		d.members.with(func(m *membership.Machine) []membership.Action { return m.Receive(time.Now(), from, b.Membership) })
 	case *peerpb.Envelope_Summary:
 		d.chooser.observe(time.Now(), from, b.Summary)
