Work out the capacity at the target size, and mend what it showed first

Cause: worked out for 1,300 nodes, a scheduler for each of 2,800 services at each node and a tick of all of them every 10 ms would exceed 32 MB and 1.3% of a core, and summaries to all instances of a region would take 170 KB/s. Ruled out: slower ticks (slots would idle), fewer summaries for all (pairs in use need them). Change: schedulers only where servers are dispatched; summaries only to instances that sent requests in the last 10 s; states reported every 100 ms; a newer notification takes over attempts and timeout.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -195,6 +195,7 @@
 	d.goroutine(func() { d.readFabric() })
 	d.goroutine(func() { d.every(ctx, membershipTick, d.tickMembership) })
 	d.goroutine(func() { d.every(ctx, schedulerTick, d.tickSchedulers) })
+	d.goroutine(func() { d.every(ctx, stateTick, d.tickStates) })
 	d.goroutine(func() { d.every(ctx, streamTick, d.tickStreams) })
 	d.goroutine(func() { d.every(ctx, listInterval, func(now time.Time) { d.pollList(ctx, now) }) })
 	d.goroutine(func() { d.every(ctx, summaryInterval, d.sendSummaries) })
--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -23,6 +23,14 @@
 	// summaryInterval is the time between summaries to instances that got none with
 	// an answer. A summary is about 30 bytes.
 	summaryInterval = 500 * time.Millisecond
+	// summaryMemory is how long an instance that sent requests gets summaries. Sent to
+	// all instances of a region they would take 170 KB/s at the target size.
+	summaryMemory = 10 * time.Second
+	// stateTick is the interval at which changes of backend servers are reported.
+	stateTick = 100 * time.Millisecond
+	// schedulerMemory is how long a scheduler without servers and requests is kept: a
+	// new dispatcher asks for a handover within this time.
+	schedulerMemory = 30 * time.Second
 )
 
 // schedulers holds the scheduler of each service.
@@ -40,7 +48,9 @@
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
 	service   *service
-	states    map[string]string // last reported state by backend server
+	states    map[string]string    // last reported state by backend server
+	asked     map[string]time.Time // when an instance last sent a request
+	usedAt    time.Time            // when it last had a server or a request
 }
 
 // dispatchJob is a request at its dispatcher.
@@ -93,20 +103,28 @@
 func (s *schedulers) update(r *routing, now time.Time) {
 	self := s.daemon.settings.InstanceID
 	for id, svc := range r.byID {
-		sch := s.ensure(svc, now)
 		owned, candidates := s.assign(r, svc, self, now)
-		s.with(sch, func(d *dispatch.Scheduler) []dispatch.Action { return d.SetOwned(now, owned, r.view.Version) })
 		s.daemon.chooser.setCandidates(id, candidates)
+		if sch := s.ensure(svc, len(owned) > 0, now); sch != nil {
+			s.with(sch, func(d *dispatch.Scheduler) []dispatch.Action { return d.SetOwned(now, owned, r.view.Version) })
+		}
 	}
 	s.removeStale(r, now)
 }
 
-func (s *schedulers) ensure(svc *service, now time.Time) *scheduler {
+// ensure returns the scheduler of a service, and creates it where this instance
+// dispatches servers. With one for each service, an instance of the target size would
+// hold 2,800 and dispatch for about 9 servers.
+func (s *schedulers) ensure(svc *service, needed bool, now time.Time) *scheduler {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sch := s.byService[svc.ID]
+	if sch == nil && !needed {
+		return nil
+	}
 	if sch == nil {
-		sch = &scheduler{scheduler: dispatch.NewScheduler(dispatch.Config{}, *svc.Service, now), states: map[string]string{}}
+		sch = &scheduler{scheduler: dispatch.NewScheduler(dispatch.Config{}, *svc.Service, now), states: map[string]string{},
+			asked: map[string]time.Time{}, usedAt: now}
 		s.byService[svc.ID] = sch
 	}
 	if sch.service != svc {
@@ -221,7 +239,12 @@
 		d.refuseJob(job, nil, result.Errorf(result.InstanceNotReady, "this instance is joining"), 0)
 		return
 	}
-	if sch == nil || d.members.fenced(now) {
+	if sch == nil {
+		d.refuseJob(job, nil, result.Errorf(result.NotDispatcher, "this instance dispatches no server of service %s", job.service.Name), 0)
+		return
+	}
+	sch.noteAsked(from, now)
+	if d.members.fenced(now) {
 		d.refuseJob(job, sch, result.Errorf(result.Fenced, "this instance is rejoining"), 0)
 		return
 	}
@@ -325,9 +348,44 @@
 // servers to the holders of streams.
 func (d *Daemon) tickSchedulers(now time.Time) {
 	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.Tick(now) })
+}
+
+// tickStates reports the states of backend servers and forgets unused schedulers.
+func (d *Daemon) tickStates(now time.Time) {
 	for _, sch := range d.schedulers.all() {
 		d.reportStates(sch, now)
 	}
+	d.schedulers.forgetUnused(now)
+}
+
+// forgetUnused drops the schedulers that had neither a server nor a request for a while.
+func (s *schedulers) forgetUnused(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, sch := range s.byService {
+		sch.mu.Lock()
+		if sch.inUse(now) {
+			sch.usedAt = now
+		}
+		unused := now.Sub(sch.usedAt) > schedulerMemory
+		sch.mu.Unlock()
+		if unused {
+			delete(s.byService, id)
+		}
+	}
+}
+
+// inUse reports whether the scheduler has a server or a request. s.mu is held.
+func (s *scheduler) inUse(now time.Time) bool {
+	if s.scheduler.Running() > 0 || s.scheduler.Queued() > 0 {
+		return true
+	}
+	for _, st := range s.scheduler.Status(now) {
+		if st.Role != roleReleased {
+			return true
+		}
+	}
+	return false
 }
 
 // reportStates sends a notice for each backend server whose state changed.
@@ -430,8 +488,28 @@
 	d.schedulers.each(func(s *dispatch.Scheduler) []dispatch.Action { return s.HandoverDone(now, in.Server, in.Ended) })
 }
 
-// sendSummaries sends the load of this dispatcher to instances that did not get it
-// with an answer lately.
+func (s *scheduler) noteAsked(from string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked[from] = now
+}
+
+// askers returns the instances that sent requests lately, and forgets the others.
+// s.mu is held.
+func (s *scheduler) askers(now time.Time) []string {
+	var ids []string
+	for id, at := range s.asked {
+		if now.Sub(at) > summaryMemory {
+			delete(s.asked, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// sendSummaries sends the load of this dispatcher to instances that sent requests
+// lately and did not get it with an answer since.
 func (d *Daemon) sendSummaries(now time.Time) {
 	r := d.routes.Load()
 	if r == nil {
@@ -440,13 +518,17 @@
 	for _, sch := range d.schedulers.all() {
 		sch.mu.Lock()
 		summary := sch.scheduler.Summary(now)
+		askers := sch.askers(now)
 		sch.mu.Unlock()
 		if summary.TotalSlots == 0 {
 			continue
 		}
 		d.chooser.observe(now, d.settings.InstanceID, summary)
-		for _, e := range d.idlePeers(r, now) {
-			_ = d.peers.Send(addressOf(e), &peerpb.Envelope{Body: &peerpb.Envelope_Summary{Summary: summary}})
+		for _, id := range askers {
+			e, ok := r.view.Member(id)
+			if ok && id != d.settings.InstanceID && d.notices.summaryDue(id, now) {
+				_ = d.peers.Send(addressOf(e), &peerpb.Envelope{Body: &peerpb.Envelope_Summary{Summary: summary}})
+			}
 		}
 	}
 }
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/monsoonthread/monsoonthread/caller"
 	"github.com/monsoonthread/monsoonthread/internal/standin/backendserver"
+	"github.com/monsoonthread/monsoonthread/internal/standin/fabric"
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
@@ -237,3 +238,46 @@
 		t.Errorf("%d of %d streams are held", held, len(streams))
 	}
 }
+
+// Guards against streams of callers that are gone, which would hold connections of
+// backend servers for ever: each new notification used to restart the timeout.
+func TestStreamOfVanishedCallerEnds(t *testing.T) {
+	d := newDeployment(t)
+	d.start("entry-0", "laval", 100)
+	d.waitReady()
+	in := d.instances["entry-0"]
+	d.watch(1)
+	d.eventually(5*time.Second, "stream held", func() bool { return in.streams.active() == 1 })
+	d.fabric.SetCuts([]fabric.Cut{{Domain: "laval"}}) // answers reach nobody
+	var st *stream
+	d.eventually(2*time.Second, "unacknowledged notification", func() bool {
+		in.streams.mu.Lock()
+		defer in.streams.mu.Unlock()
+		for _, st = range in.streams.unacked {
+			return true
+		}
+		return false
+	})
+	resendAt, id := st.pendingNotification()
+	d.eventually(2*time.Second, "newer notification", func() bool { _, newer := st.pendingNotification(); return newer != id })
+	if at, _ := st.pendingNotification(); !at.Equal(resendAt) {
+		t.Errorf("a newer notification moved the retransmission from %v to %v", resendAt, at)
+	}
+	now := time.Now()
+	for range notifyAttempts + 1 {
+		now = now.Add(time.Minute) // beyond each retransmission timeout
+		in.streams.resend(now)
+	}
+	d.eventually(time.Second, "stream ended", func() bool { return in.streams.active() == 0 })
+}
+
+// pendingNotification returns when the unacknowledged notification is sent again, and
+// its message ID.
+func (s *stream) pendingNotification() (resendAt time.Time, id uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unacked != nil {
+		id = s.unacked.ID
+	}
+	return s.resendAt, id
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -301,20 +301,6 @@
 	}
 }
 
-// idlePeers returns the live instances that got no summary with an answer lately, and
-// counts them as served.
-func (d *Daemon) idlePeers(r *routing, now time.Time) []membership.Entry {
-	var idle []membership.Entry
-	for i := range r.view.Domains {
-		for _, e := range r.view.Domains[i].Members {
-			if e.ID != d.settings.InstanceID && e.State != membership.Dead && d.notices.summaryDue(e.ID, now) {
-				idle = append(idle, e)
-			}
-		}
-	}
-	return idle
-}
-
 func (d *Daemon) summariesSent(to string) { d.notices.summarySent(to, time.Now()) }
 
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -408,8 +408,9 @@
 	return (last + 1) % sequenceModulus
 }
 
-// sendNotification sends a confirmable notification; it replaces an older one that is
-// not acknowledged (RFC 7641, 4.5.2).
+// sendNotification sends a confirmable notification. It replaces an older one that is
+// not acknowledged and takes over its attempts and timeout (RFC 7641, 4.5.2): with new
+// ones, a caller that is gone was never noticed at ticks below the timeout.
 func (t *streamTable) sendNotification(st *stream, m *edge.Message) {
 	d := t.daemon
 	r := d.routes.Load()
@@ -424,10 +425,9 @@
 	if st.unacked != nil {
 		delete(t.unacked, exchangeKey{st.key.Caller, st.key.ServiceID, st.unacked.ID})
 	} else {
-		st.attempts = 0
+		st.attempts, st.resendAt = 1, time.Now().Add(notifyTimeout)
 	}
-	st.attempts++
-	st.unacked, st.resendAt = m, time.Now().Add(notifyTimeout)
+	st.unacked = m
 	st.mu.Unlock()
 	t.unacked[exchangeKey{st.key.Caller, st.key.ServiceID, m.ID}] = st
 	t.mu.Unlock()
