--- a/peer/transport.go
+++ b/peer/transport.go
@@ -227,11 +227,11 @@
 		case <-l.ctx.Done():
 			return false, l.ctx.Err()
 		case <-broken:
-			l.transport.handler.LinkLost(l.to.ID)
+			l.lost()
 			return false, io.ErrUnexpectedEOF
 		case env := <-l.queue:
 			if err := l.send(stream, env); err != nil {
-				l.transport.handler.LinkLost(l.to.ID)
+				l.lost()
 				return false, err
 			}
 			timer.Reset(idleClose)
@@ -259,12 +259,18 @@
 	}
 }
 
-func (l *link) drain() {
-	l.cancel()
+// lost reports a broken link. The envelopes that still wait are reported as unsent
+// first: what was certainly not sent must not count as possibly lost.
+func (l *link) lost() {
 	l.drainQueued()
 	l.transport.handler.LinkLost(l.to.ID)
 }
 
+func (l *link) drain() {
+	l.cancel()
+	l.lost()
+}
+
 // Receive serves one incoming link; it is the body of the Link method.
 func (t *Transport) Receive(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.LinkReply]) error {
 	first, err := stream.Recv()
