Send summaries to all instances of a small deployment; share the correction of backlogs

Per-server figures show even use inside a dispatch group (within 1%) and uneven groups. Two faults were found on the way: an instance that had not asked a dispatcher for 10 s got no summaries any more and then avoided it for good (servers of one group at 71%, others at 99%), and 9 instances before 3 dispatchers each corrected a third of the same backlog. Rate estimates were checked: 11 to 13% too high for every group alike. Change: up to 32 instances all get summaries; the part of the backlog follows the number of instances that choose; load of each service in the metrics.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -88,6 +88,7 @@
 	rng      *rand.Rand
 	epoch    time.Time
 	services map[uint32]*candidates
+	holders  int          // instances that choose
 	sample   []evaluation // scratch
 }
 
@@ -98,6 +99,9 @@
 	return &Chooser{cfg: cfg, rng: rng, services: make(map[uint32]*candidates)}
 }
 
+// SetHolders sets how many instances choose among the same dispatchers.
+func (c *Chooser) SetHolders(n int) { c.holders = n }
+
 // SetCandidates sets the dispatchers of a service and keeps what is known of them.
 func (c *Chooser) SetCandidates(service uint32, instances []string) {
 	old := c.services[service]
@@ -229,7 +233,7 @@
 	t := c.time(now)
 	n := len(s.list)
 	i := c.rng.IntN(n)
-	part := 1 / float64(n)
+	part := 1 / float64(max(n, c.holders))
 	c.sample = c.sample[:0]
 	shortest := math.Inf(1)
 	step := 1
@@ -273,8 +277,10 @@
 // part of its backlog. A backlog is negative while slots are free.
 //
 // Equal work per capacity balances the dispatchers, and the backlog corrects for what
-// others send. Each of about as many instances as there are candidates sees the same
-// backlog, so each corrects only its part. When each went to the free slots of the
+// others send. All instances that choose see the same backlog, so each corrects only its
+// part. With the part computed from the candidates alone, 9 instances before 3 dispatchers
+// corrected three times too much, and one dispatcher was saturated while others had free
+// slots. When each went to the free slots of the
 // summaries first, the 99th percentile of the wait was 2 times as long with 8 instances
 // and 6 times with 70.
 func (c *Chooser) evaluate(t int64, s *candidates, d *candidate, part float64) (wait, score float64) {
--- a/internal/daemon/dispatcher.go
+++ b/internal/daemon/dispatcher.go
@@ -26,6 +26,10 @@
 	// summaryMemory is how long an instance that sent requests gets summaries. Sent to
 	// all instances of a region they would take 170 KB/s at the target size.
 	summaryMemory = 10 * time.Second
+	// summariesToAll is the number of instances up to which all get summaries. An
+	// instance that gets none uses a dispatcher only when the others have a queue: with 9
+	// instances the servers of one group were at 71% of their slot time, others at 99%.
+	summariesToAll = 32
 	// stateTick is the interval at which changes of backend servers are reported.
 	stateTick = 100 * time.Millisecond
 	// schedulerMemory is how long a scheduler without servers and requests is kept: a
@@ -102,6 +106,7 @@
 // service from a new routing snapshot.
 func (s *schedulers) update(r *routing, now time.Time) {
 	self := s.daemon.settings.InstanceID
+	s.daemon.chooser.setHolders(len(r.liveInstances()))
 	for id, svc := range r.byID {
 		owned, candidates := s.assign(r, svc, self, now)
 		s.daemon.chooser.setCandidates(id, candidates)
--- a/internal/daemon/locked.go
+++ b/internal/daemon/locked.go
@@ -25,6 +25,12 @@
 	members map[uint32][]string
 }
 
+func (c *lockedChooser) setHolders(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.chooser.SetHolders(n)
+}
+
 func (c *lockedChooser) setCandidates(service uint32, instances []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 
@@ -59,6 +60,7 @@
 
 func (m *metrics) write(w io.Writer) {
 	m.set.WritePrometheus(w)
+	m.daemon.writeLoad(w)
 	counters := m.daemon.peers.Counters()
 	for _, kind := range peer.Kinds {
 		k := counters.Kind(kind)
@@ -81,3 +83,17 @@
 		"violations": float64(m.violations.Get()) + float64(dispatch.Violations.Count()),
 	}
 }
+
+// writeLoad writes the load of each service that this instance dispatches for, as its
+// summaries state it.
+func (d *Daemon) writeLoad(w io.Writer) {
+	now := time.Now()
+	for _, sch := range d.schedulers.all() {
+		sch.mu.Lock()
+		name, s := sch.service.Name, sch.scheduler.Summary(now)
+		sch.mu.Unlock()
+		fmt.Fprintf(w, "monsoonthread_dispatch_service_rate{service=%q} %g\n", name, float64(s.ServiceRateMilli)/1000)
+		fmt.Fprintf(w, "monsoonthread_dispatch_free_slots{service=%q} %d\n", name, s.FreeSlots)
+		fmt.Fprintf(w, "monsoonthread_dispatch_queued{service=%q} %d\n", name, s.Queued)
+	}
+}
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -78,3 +78,15 @@
 func (r *routing) dispatcher(s *service, b *config.BackendServer) (membership.Entry, bool) {
 	return r.view.Dispatcher(b.Domain, s.groups[b.Name])
 }
+
+// liveInstances returns the instances that hold flows.
+func (r *routing) liveInstances() (ids []string) {
+	for i := range r.view.Domains {
+		for _, e := range r.view.Domains[i].Members {
+			if e.Weight > 0 && (e.State == membership.Alive || e.State == membership.Suspect) {
+				ids = append(ids, e.ID)
+			}
+		}
+	}
+	return ids
+}
--- a/internal/daemon/summaries.go
+++ b/internal/daemon/summaries.go
@@ -33,11 +33,15 @@
 	if r == nil {
 		return
 	}
+	live := r.liveInstances()
 	for _, sch := range d.schedulers.all() {
 		sch.mu.Lock()
 		summary := sch.scheduler.Summary(now)
 		askers := sch.askers(now)
 		sch.mu.Unlock()
+		if len(live) <= summariesToAll {
+			askers = live
+		}
 		if summary.TotalSlots == 0 {
 			continue
 		}
