Remove two result codes that nothing returns

Cause: 116 and 118 were defined and documented and had no use; a reader would look for it. Ruled out: codes that only tests use (none).

--- a/result/result.go
+++ b/result/result.go
@@ -32,9 +32,7 @@
 	PeerUnreachable   Code = 113
 	PermitRequired    Code = 114
 	Fenced            Code = 115
-	RelayLimit        Code = 116
 	RequestCancelled  Code = 117
-	AmplificationCap  Code = 118
 	ConnectionsInUse  Code = 119
 	TakeoverPending   Code = 120
 	InstanceNotReady  Code = 121
