--- /dev/null
+++ b/directory/table.go
@@ -0,0 +1,120 @@
+// Package directory holds the records that instances learn from the platform's store
+// and pass on to each other. Records merge by the higher revision, so that they may
+// arrive from any source in any order and never step back. It performs no I/O.
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Record is a key's value at a revision of the store. A removed record keeps the last
+// known value, because open flows outlive the records of their servers.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+type entry struct {
+	Record
+	removedAt time.Duration
+}
+
+// Table is an instance's copy of the records. It is not safe for concurrent use. Times
+// are monotonic durations since the start of the process.
+type Table struct {
+	retention time.Duration
+	entries   map[string]*entry
+	asOf      uint64
+}
+
+// NewTable returns an empty table that keeps removed records for a time.
+func NewTable(retention time.Duration) *Table {
+	return &Table{retention: retention, entries: make(map[string]*entry)}
+}
+
+// AsOf returns the revision up to which the table is complete.
+func (t *Table) AsOf() uint64 { return t.asOf }
+
+// Merge applies records and returns those that were news.
+func (t *Table) Merge(now time.Duration, records []Record) []Record {
+	var news []Record
+	for _, r := range records {
+		if t.put(now, &r) {
+			news = append(news, r)
+		}
+	}
+	return news
+}
+
+// put applies a record. A removal without a value takes over the last one.
+func (t *Table) put(now time.Duration, r *Record) bool {
+	known := t.entries[r.Key]
+	if known != nil && r.Revision <= known.Revision {
+		return false
+	}
+	if known == nil {
+		known = new(entry)
+		t.entries[r.Key] = known
+	}
+	if r.Removed {
+		known.removedAt = now
+		if r.Value == nil {
+			r.Value = known.Value
+		}
+	}
+	known.Record = *r
+	return true
+}
+
+// Advance states that the table is complete up to a revision.
+func (t *Table) Advance(asOf uint64) { t.asOf = max(t.asOf, asOf) }
+
+// Replace applies a complete listing that was begun at a revision: records that it lacks
+// and that are not newer count as removed. It returns what was news.
+func (t *Table) Replace(now time.Duration, listing []Record, asOf uint64) []Record {
+	listed := make(map[string]bool, len(listing))
+	for _, r := range listing {
+		listed[r.Key] = true
+	}
+	news := t.Merge(now, listing)
+	for _, key := range slices.Sorted(maps.Keys(t.entries)) {
+		e := t.entries[key]
+		if listed[key] || e.Removed || e.Revision >= asOf {
+			continue
+		}
+		gone := Record{Key: key, Revision: asOf, Removed: true}
+		if t.put(now, &gone) {
+			news = append(news, gone)
+		}
+	}
+	t.Advance(asOf)
+	return news
+}
+
+// Since returns the records with a higher revision, ordered by revision.
+func (t *Table) Since(revision uint64) []Record {
+	var out []Record
+	for _, e := range t.entries {
+		if e.Revision > revision {
+			out = append(out, e.Record)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
+	return out
+}
+
+// Expire forgets removed records that are older than the retention time.
+func (t *Table) Expire(now time.Duration) {
+	for key, e := range t.entries {
+		if e.Removed && now-e.removedAt > t.retention {
+			delete(t.entries, key)
+		}
+	}
+}
--- /dev/null
+++ b/forwarding/choose.go
@@ -0,0 +1,82 @@
+package forwarding
+
+import "time"
+
+const (
+	// remotePenalty is how much less loaded a server of another failure domain must be:
+	// a flow that crosses pays the delay both ways and does not survive a cut.
+	remotePenalty = 1.5
+	// sampleSize bounds the servers compared for one flow, so that a choice takes the
+	// same time with 19 and with 12,000 servers. Up to this number all are compared.
+	sampleSize = 8
+)
+
+// choose returns the server for a new flow on the route, or nil if none can take it.
+func (e *Engine) choose(now time.Duration, r *route) *server {
+	if r.total == 0 {
+		return nil
+	}
+	ticket := uint32(e.rng.Uint64N(uint64(r.total)))
+	first := 0
+	for i, w := range r.services {
+		if ticket < w.weight {
+			first = i
+			break
+		}
+		ticket -= w.weight
+	}
+	if s := e.best(now, r.services[first].service); s != nil {
+		return s
+	}
+	for i, w := range r.services {
+		if i == first || w.weight == 0 {
+			continue
+		}
+		if s := e.best(now, w.service); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// best returns the least loaded usable server of a service.
+func (e *Engine) best(now time.Duration, svc *service) *server {
+	local, localLoad := e.leastLoaded(now, svc.local, (*server).usableAt)
+	remote, remoteLoad := e.leastLoaded(now, svc.remote, (*server).usableAt)
+	switch {
+	case local != nil && (remote == nil || localLoad <= remoteLoad*remotePenalty):
+		return local
+	case remote != nil:
+		return remote
+	}
+	if s, _ := e.leastLoaded(now, svc.local, (*server).usableAfterRemoval); s != nil {
+		return s
+	}
+	s, _ := e.leastLoaded(now, svc.remote, (*server).usableAfterRemoval)
+	return s
+}
+
+func (s *server) usableAt(time.Duration) bool { return s.usable() }
+
+// leastLoaded compares a sample of the servers that pass the filter.
+func (e *Engine) leastLoaded(now time.Duration, servers []*server, usable func(*server, time.Duration) bool) (*server, float64) {
+	n := len(servers)
+	if n == 0 {
+		return nil, 0
+	}
+	var best *server
+	var bestLoad float64
+	start := int(e.rng.Uint64N(uint64(n)))
+	seen := 0
+	for i := 0; i < n && seen < sampleSize; i++ {
+		s := servers[(start+i)%n]
+		if !usable(s, now) {
+			continue
+		}
+		seen++
+		if load := s.load(now); best == nil || load < bestLoad {
+			best, bestLoad = s, load
+		}
+	}
+	return best, bestLoad
+}
--- /dev/null
+++ b/forwarding/config.go
@@ -0,0 +1,117 @@
+package forwarding
+
+import "time"
+
+// Kind says what may be repeated on a route.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	Idempotent Kind = iota
+	NonIdempotent
+	Download
+)
+
+// ServiceWeight is the share of a route's new flows that a service gets.
+type ServiceWeight struct {
+	Service string
+	Weight  uint32
+}
+
+// Route sends the flows to one service address and port to services.
+type Route struct {
+	Address  uint32
+	Port     uint16
+	Kind     Kind
+	Services []ServiceWeight
+}
+
+// Configuration is one version of the operators' configuration.
+type Configuration struct {
+	Version     uint64
+	Routes      []Route
+	IdleTimeout time.Duration // after which a flow may be forgotten; 0 for the default
+}
+
+type routeKey struct {
+	address uint32
+	port    uint16
+}
+
+type weightedService struct {
+	service *service
+	weight  uint32
+}
+
+type route struct {
+	kind     Kind
+	services []weightedService
+	total    uint32
+	// ever holds every service that a version known here sent the route's flows to.
+	// Flows opened under an older version keep their server.
+	ever []*service
+}
+
+func (r *route) allows(s *service) bool {
+	for _, e := range r.ever {
+		if e == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Configure puts a configuration in force. An older version than the one in force is
+// ignored, because a configuration must never step back. It reports whether the
+// version is in force now.
+func (e *Engine) Configure(now time.Duration, c *Configuration) bool {
+	if e.configured && c.Version <= e.version {
+		return c.Version == e.version
+	}
+	routes := make(map[routeKey]*route, len(c.Routes))
+	for i := range c.Routes {
+		k := routeKey{c.Routes[i].Address, c.Routes[i].Port}
+		routes[k] = e.newRoute(&c.Routes[i], e.routes[k], e.retired[k])
+	}
+	for k, r := range e.routes {
+		if routes[k] == nil {
+			e.retired[k] = r
+		}
+	}
+	for k := range routes {
+		delete(e.retired, k)
+	}
+	if !e.configured {
+		e.configuredAt = now
+	}
+	e.routes, e.version, e.configured = routes, c.Version, true
+	e.idleTimeout = defaultIdleTimeout
+	if c.IdleTimeout > 0 {
+		e.idleTimeout = c.IdleTimeout
+	}
+	return true
+}
+
+func (e *Engine) newRoute(in *Route, before ...*route) *route {
+	r := &route{kind: in.Kind}
+	for _, w := range in.Services {
+		s := e.service(w.Service)
+		r.services = append(r.services, weightedService{s, w.Weight})
+		r.total += w.Weight
+		r.ever = append(r.ever, s)
+	}
+	for _, b := range before {
+		if b == nil {
+			continue
+		}
+		for _, s := range b.ever {
+			if !r.allows(s) {
+				r.ever = append(r.ever, s)
+			}
+		}
+	}
+	return r
+}
+
+// Version returns the version in force, and false before the first one.
+func (e *Engine) Version() (uint64, bool) { return e.version, e.configured }
--- /dev/null
+++ b/forwarding/engine.go
@@ -0,0 +1,209 @@
+package forwarding
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// defaultIdleTimeout applies until a configuration states another one.
+	defaultIdleTimeout = 15 * time.Second
+	// pendingLifetime is how long a client waits for the answer to its opening packets.
+	pendingLifetime = 1400 * time.Millisecond
+	// closingLifetime keeps a finished flow's server for repeated packets.
+	closingLifetime = 2 * time.Second
+	// expiryBatch bounds the flows looked at per tick, so that a tick stays short with
+	// a full table.
+	expiryBatch = 2000
+	// forgetInterval is the time between passes over servers that left.
+	forgetInterval = 10 * time.Second
+)
+
+// Config describes an engine.
+type Config struct {
+	Domain         string        // own failure domain
+	CookieLifetime time.Duration // how long a server that left stays known
+	MaxFlows       int           // flows beyond this number are forwarded without evidence
+	Seed           uint64
+}
+
+// Engine holds the state of one instance.
+type Engine struct {
+	cfg          Config
+	rng          *rand.Rand
+	version      uint64
+	configured   bool
+	configuredAt time.Duration // of the first configuration
+	idleTimeout  time.Duration
+	routes       map[routeKey]*route
+	retired      map[routeKey]*route // routes of earlier versions, for their open flows
+	services     map[string]*service
+	servers      map[string]*server
+	byCookie     map[uint32][]*server
+	flows        map[FlowKey]*flow
+	free         []*flow
+	pending      []pendingOpen // in the order of their times
+	nextForget   time.Duration
+}
+
+// pendingOpen keeps an opening packet until its flow is open.
+type pendingOpen struct {
+	flow   *flow
+	key    FlowKey
+	packet []byte
+	at     time.Duration
+}
+
+// New returns an engine without configuration.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg:         cfg,
+		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		idleTimeout: defaultIdleTimeout,
+		routes:      make(map[routeKey]*route),
+		retired:     make(map[routeKey]*route),
+		services:    make(map[string]*service),
+		servers:     make(map[string]*server),
+		byCookie:    make(map[uint32][]*server),
+		flows:       make(map[FlowKey]*flow),
+	}
+}
+
+// Packet decides on a client's packet. raw is the packet itself; the engine keeps a copy
+// of an opening packet so that it can be sent to another server.
+func (e *Engine) Packet(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
+	if !e.configured {
+		return Decision{Verdict: Drop, Reason: NotServing}, nil
+	}
+	if p.Open {
+		return e.openFlow(now, p, raw)
+	}
+	return e.continueFlow(now, p)
+}
+
+func (e *Engine) openFlow(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
+	r := e.routes[routeKey{p.Flow.Service, p.Flow.ServicePort}]
+	if r == nil {
+		return Decision{Verdict: ResetFlow, Reason: NoRoute}, nil
+	}
+	f := e.flows[p.Flow]
+	if f != nil && f.state == opening && (f.server.evidence.state <= suspected) {
+		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
+	}
+	s := e.choose(now, r)
+	if s == nil {
+		return Decision{Verdict: ResetFlow, Reason: NoServer}, nil
+	}
+	if f != nil {
+		e.drop(f)
+	}
+	if len(e.flows) < e.cfg.MaxFlows {
+		f = e.track(now, p.Flow, s, r.kind)
+		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
+	}
+	return Decision{Verdict: Forward, Reason: Chosen, Target: s.target()}, nil
+}
+
+func (e *Engine) continueFlow(now time.Duration, p Packet) (Decision, []Action) {
+	f := e.flows[p.Flow]
+	reason := ByFlow
+	if f == nil || f.state == opening {
+		s, verdict := e.byPacket(now, p)
+		if s == nil && f == nil {
+			return Decision{Verdict: Drop, Reason: verdict}, nil
+		}
+		reason = ByCookie
+		if f == nil {
+			if len(e.flows) >= e.cfg.MaxFlows {
+				return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
+			}
+			f = e.track(now, p.Flow, s, e.kind(p.Flow))
+		} else if s != nil {
+			// The client answers the server whose cookie it returns.
+			e.assign(f, s)
+		}
+		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
+		f.server.progress(now)
+	}
+	s := f.server
+	actions := e.observe(now, f, p)
+	if s.resettable(now, f) {
+		d := Decision{Verdict: ResetFlow, Reason: ServerDead, Target: s.target()}
+		e.drop(f)
+		return d, actions
+	}
+	return Decision{Verdict: Forward, Reason: reason, Target: s.target()}, actions
+}
+
+// byPacket returns the server that the packet's cookie names, if a version of the
+// configuration let the packet's route use its service. A route that is not known yet
+// does not speak against the server, because this instance may lag behind.
+func (e *Engine) byPacket(now time.Duration, p Packet) (*server, Reason) {
+	same := e.byCookie[p.Cookie]
+	if len(same) == 0 || p.Cookie == 0 {
+		return nil, UnknownCookie
+	}
+	k := routeKey{p.Flow.Service, p.Flow.ServicePort}
+	r := e.routes[k]
+	if r == nil {
+		r = e.retired[k]
+	}
+	// After a start, the services that a route had before are not known.
+	historyKnown := now-e.configuredAt >= e.cfg.CookieLifetime
+	if r == nil {
+		return same[0], ByCookie
+	}
+	for _, s := range same {
+		if !historyKnown || r.allows(s.service) {
+			return s, ByCookie
+		}
+	}
+	return nil, OtherService
+}
+
+func (e *Engine) kind(k FlowKey) Kind {
+	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
+		return r.kind
+	}
+	if r := e.retired[routeKey{k.Service, k.ServicePort}]; r != nil {
+		return r.kind
+	}
+	return NonIdempotent // the kind that nothing may be assumed of
+}
+
+// Tick does what time alone brings about. It is due about every 50 ms.
+func (e *Engine) Tick(now time.Duration) []Action {
+	actions := e.checkPending(now)
+	for _, s := range e.servers {
+		v := &s.evidence
+		if v.state >= suspected && s.listed && !v.replaced && !v.probing && now >= v.nextProbe {
+			actions = append(actions, e.probe(s)...)
+		}
+	}
+	e.expire(now)
+	if now >= e.nextForget {
+		e.nextForget = now + forgetInterval
+		e.forgetServers(now)
+	}
+	return actions
+}
+
+// checkPending suspects the servers of opening packets that stay without an answer.
+func (e *Engine) checkPending(now time.Duration) []Action {
+	var actions []Action
+	kept := e.pending[:0]
+	for _, p := range e.pending {
+		f := p.flow
+		if f.key != p.key || f.state != opening || now-p.at > pendingLifetime {
+			continue
+		}
+		kept = append(kept, p)
+		sent := duration(f.sentAt)
+		if now-sent >= openSuspectAfter && f.server.evidence.lastProgress < sent {
+			actions = append(actions, e.suspect(now, f.server)...)
+		}
+	}
+	clear(e.pending[len(kept):])
+	e.pending = kept
+	return actions
+}
--- /dev/null
+++ b/forwarding/flow.go
@@ -0,0 +1,124 @@
+package forwarding
+
+import "time"
+
+type flowState uint8
+
+const (
+	opening flowState = iota
+	open
+	closing
+)
+
+// flow is what the instance has seen of one flow. Times are in milliseconds to keep it
+// small.
+type flow struct {
+	key     FlowKey
+	server  *server
+	seq     uint32 // highest sequence number of the client
+	ack     uint32 // highest acknowledgement of the client
+	seenAt  uint32
+	sentAt  uint32 // first sending of the data that waits for an answer
+	state   flowState
+	kind    Kind
+	waiting bool // a request is under way
+}
+
+func millis(d time.Duration) uint32    { return uint32(d / time.Millisecond) }
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// after reports whether sequence number a lies after b.
+func after(a, b uint32) bool { return int32(a-b) > 0 }
+
+func (e *Engine) track(now time.Duration, k FlowKey, s *server, kind Kind) *flow {
+	var f *flow
+	if n := len(e.free); n > 0 {
+		f, e.free = e.free[n-1], e.free[:n-1]
+	} else {
+		f = new(flow)
+	}
+	*f = flow{key: k, server: s, kind: kind, seenAt: millis(now), sentAt: millis(now)}
+	s.flows++
+	e.flows[k] = f
+	return f
+}
+
+// assign moves a flow to another server.
+func (e *Engine) assign(f *flow, s *server) {
+	f.server.flows--
+	f.server = s
+	s.flows++
+}
+
+// drop forgets a flow.
+func (e *Engine) drop(f *flow) {
+	if f.state != closing {
+		f.server.flows--
+	}
+	delete(e.flows, f.key)
+	*f = flow{}
+	e.free = append(e.free, f)
+}
+
+// observe takes evidence and samples from a packet of an open flow.
+func (e *Engine) observe(now time.Duration, f *flow, p Packet) []Action {
+	f.seenAt = millis(now)
+	s := f.server
+	answered := p.Acknowledges && after(p.Acknowledgement, f.ack)
+	if answered {
+		f.ack = p.Acknowledgement
+		s.progress(now)
+		// An acknowledgement that comes with the next request says nothing about the
+		// response time.
+		if f.waiting && p.Length == 0 {
+			s.addSample(now - duration(f.sentAt))
+		}
+		f.waiting = false
+	}
+	var actions []Action
+	if p.Length > 0 {
+		actions = e.observeData(now, f, p)
+	}
+	if (p.Finish || p.Reset) && f.state == open {
+		f.state = closing
+		s.flows--
+	}
+	return actions
+}
+
+func (e *Engine) observeData(now time.Duration, f *flow, p Packet) []Action {
+	if !after(p.Sequence+uint32(p.Length), f.seq) {
+		s := f.server
+		sent := duration(f.sentAt)
+		if f.waiting && now-sent >= repeatSuspectAfter && s.evidence.lastProgress < sent {
+			return e.suspect(now, s)
+		}
+		return nil
+	}
+	f.seq = p.Sequence + uint32(p.Length)
+	if !f.waiting {
+		f.waiting = true
+		f.sentAt = millis(now)
+	}
+	return nil
+}
+
+// expire forgets flows that are idle or finished. A map's iteration starts at random,
+// so that a bounded pass reaches all flows in time.
+func (e *Engine) expire(now time.Duration) {
+	n := 0
+	for _, f := range e.flows {
+		if n++; n > expiryBatch {
+			return
+		}
+		limit := e.idleTimeout
+		if f.state == closing {
+			limit = closingLifetime
+		} else if f.state == opening {
+			limit = pendingLifetime
+		}
+		if now-duration(f.seenAt) > limit {
+			e.drop(f)
+		}
+	}
+}
--- /dev/null
+++ b/forwarding/server.go
@@ -0,0 +1,236 @@
+package forwarding
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// entryReturnTime is how long a record that vanished without a drain may come back:
+	// entries that lapse in a store outage return about 2 s after its end.
+	entryReturnTime = 2 * time.Second
+	// defaultServiceTime stands for the response time of a server without samples.
+	defaultServiceTime = 20 * time.Millisecond
+	// coldFactor is the assumed slow-down of a server that has just started.
+	coldFactor = 2
+	// serviceTimeGain is the weight of a new sample in the moving average: 1/16
+	// follows a change of load within about 20 requests.
+	serviceTimeGain = 1.0 / 16
+)
+
+// Server is what the records say about one backend server.
+type Server struct {
+	Name     string // key of the record
+	ID       uint64 // names the intended server in datagrams
+	Service  string
+	Address  netip.AddrPort
+	Domain   string // failure domain
+	Slots    int
+	Draining bool
+	ColdLeft time.Duration // how much longer the server is slow after its start
+	Born     int64         // start of the process as the server states it; 0 if unknown
+	Revision uint64        // of the record
+}
+
+type service struct {
+	name          string
+	local, remote []*server // listed servers of the own and of other failure domains
+	serviceTime   float64   // moving average over all servers, in nanoseconds
+}
+
+type server struct {
+	Server
+	service   *service
+	cookie    uint32
+	local     bool
+	listed    bool // a record exists
+	shadowed  bool // another server has the same cookie and the lower ID
+	removedAt time.Duration
+	coldUntil time.Duration
+
+	flows       int32   // open flows in the own table
+	peerFlows   int32   // open flows that the peers report
+	serviceTime float64 // moving average of response times in nanoseconds; 0 without samples
+
+	evidence evidence
+}
+
+func (s *server) target() Target { return Target{Address: s.Address, ID: s.ID, Cookie: s.cookie} }
+
+// usable reports whether new flows may go to the server.
+func (s *server) usable() bool {
+	return s.listed && !s.Draining && !s.shadowed && s.evidence.state == trusted
+}
+
+// usableAfterRemoval reports whether the server may still take flows although its
+// record has vanished.
+func (s *server) usableAfterRemoval(now time.Duration) bool {
+	return !s.listed && !s.Draining && !s.shadowed && s.evidence.state == trusted && now-s.removedAt <= entryReturnTime
+}
+
+// load estimates the share of the server's slots that its flows keep busy, in
+// nanoseconds of work per flow and slot.
+func (s *server) load(now time.Duration) float64 {
+	t := s.serviceTime
+	if t == 0 {
+		t = s.service.serviceTime
+	}
+	if now < s.coldUntil {
+		t *= coldFactor
+	}
+	return float64(s.flows+s.peerFlows+1) * t / float64(s.Slots)
+}
+
+func (s *server) addSample(d time.Duration) {
+	if s.serviceTime == 0 {
+		s.serviceTime = s.service.serviceTime
+	}
+	s.serviceTime += (float64(d) - s.serviceTime) * serviceTimeGain
+	s.service.serviceTime += (float64(d) - s.service.serviceTime) * serviceTimeGain / 4
+}
+
+func (e *Engine) service(name string) *service {
+	s := e.services[name]
+	if s == nil {
+		s = &service{name: name, serviceTime: float64(defaultServiceTime)}
+		e.services[name] = s
+	}
+	return s
+}
+
+// PutServer applies a record of a backend server. Records with a revision that is not
+// newer than the known one are ignored.
+func (e *Engine) PutServer(now time.Duration, in Server) []Action {
+	s := e.servers[in.Name]
+	if s == nil {
+		s = e.addServer(in)
+	} else if in.Revision <= s.Revision {
+		return nil
+	}
+	restarted := !s.listed || in.Born != s.Born
+	e.setRecord(s, in)
+	s.listed = true
+	s.coldUntil = now + in.ColdLeft
+	if restarted {
+		s.evidence = evidence{}
+	}
+	return e.rebuild(now)
+}
+
+// RemoveServer applies the removal of a record; in holds its last value and the
+// revision of the removal. Open flows keep their server: a removal does not prove that
+// it has ended.
+func (e *Engine) RemoveServer(now time.Duration, in Server) []Action {
+	s := e.servers[in.Name]
+	switch {
+	case s == nil:
+		s = e.addServer(in)
+		e.setRecord(s, in)
+		s.removedAt = now - entryReturnTime
+		return e.rebuild(now)
+	case in.Revision <= s.Revision:
+		return nil
+	}
+	s.Revision = in.Revision
+	if !s.listed {
+		return nil
+	}
+	s.listed, s.removedAt = false, now
+	actions := e.rebuild(now)
+	if s.flows > 0 {
+		actions = append(actions, e.suspect(now, s)...)
+	}
+	return actions
+}
+
+func (e *Engine) addServer(in Server) *server {
+	s := &server{cookie: uint32(in.ID)}
+	e.servers[in.Name] = s
+	e.byCookie[s.cookie] = append(e.byCookie[s.cookie], s)
+	return s
+}
+
+func (e *Engine) setRecord(s *server, in Server) {
+	s.Server, s.service = in, e.service(in.Service)
+	s.local = in.Domain == e.cfg.Domain
+}
+
+// supersedes reports whether s has the address that o had: an address is given to
+// another server only after the earlier one has ended.
+func (s *server) supersedes(o *server) bool {
+	return s != o && s.Address == o.Address && s.listed && (!o.listed || o.Revision < s.Revision)
+}
+
+// rebuild recomputes the lists that choices are made from and what follows from the
+// records of several servers together. Changes of records are rare next to packets.
+func (e *Engine) rebuild(now time.Duration) []Action {
+	for _, s := range e.services {
+		s.local, s.remote = s.local[:0], s.remote[:0]
+	}
+	owner := make(map[netip.AddrPort]*server, len(e.servers))
+	for _, s := range e.servers {
+		if o := owner[s.Address]; o == nil || s.supersedes(o) {
+			owner[s.Address] = s
+		}
+		if s.local {
+			s.service.local = append(s.service.local, s)
+		} else {
+			s.service.remote = append(s.service.remote, s)
+		}
+	}
+	for _, same := range e.byCookie {
+		lowest := lowestID(same)
+		for _, s := range same {
+			s.shadowed = s.cookie == 0 || s != lowest
+		}
+	}
+	var actions []Action
+	for _, s := range e.servers {
+		replaced := owner[s.Address].supersedes(s)
+		if replaced && !s.evidence.replaced {
+			actions = append(actions, e.declareDead(now, s)...)
+		}
+		s.evidence.replaced = replaced
+	}
+	return actions
+}
+
+// lowestID returns the listed server with the lowest ID, so that all instances agree
+// which of two servers with one cookie takes new flows.
+func lowestID(servers []*server) *server {
+	var lowest *server
+	for _, s := range servers {
+		if s.listed && (lowest == nil || s.ID < lowest.ID) {
+			lowest = s
+		}
+	}
+	return lowest
+}
+
+// forgetServers deletes servers whose record vanished longer ago than a flow lives.
+func (e *Engine) forgetServers(now time.Duration) {
+	forgotten := false
+	for name, s := range e.servers {
+		if s.listed || now-s.removedAt < e.cfg.CookieLifetime {
+			continue
+		}
+		delete(e.servers, name)
+		e.byCookie[s.cookie] = remove(e.byCookie[s.cookie], s)
+		if len(e.byCookie[s.cookie]) == 0 {
+			delete(e.byCookie, s.cookie)
+		}
+		forgotten = true
+	}
+	if forgotten {
+		e.rebuild(now)
+	}
+}
+
+func remove(servers []*server, s *server) []*server {
+	for i, o := range servers {
+		if o == s {
+			return append(servers[:i], servers[i+1:]...)
+		}
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/forwarder/events.go
@@ -0,0 +1,108 @@
+package forwarder
+
+import (
+	"errors"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/internal/logging"
+)
+
+const (
+	// eventsPerSecond and eventBurst bound the lines about single flows, which grow with
+	// load: a line takes about 10 µs, so that they cost at most 0.1% of a core.
+	eventsPerSecond = 100
+	eventBurst      = 200
+)
+
+// eventLog writes the lines about decisions within a bounded volume.
+type eventLog struct {
+	log     zerolog.Logger
+	limit   *rate.Limiter
+	skipped uint64
+}
+
+func newEventLog(log zerolog.Logger) *eventLog {
+	return &eventLog{log: log, limit: rate.NewLimiter(eventsPerSecond, eventBurst)}
+}
+
+// line returns an event to fill in, or nil if the volume is spent. The methods of a nil
+// event do nothing.
+func (l *eventLog) line(level zerolog.Level) *zerolog.Event {
+	if !l.limit.Allow() {
+		return nil
+	}
+	return l.log.WithLevel(level)
+}
+
+func (l *eventLog) decided(p forwarding.Packet, d forwarding.Decision, version uint64) {
+	if d.Verdict == forwarding.Forward && !p.Open {
+		return
+	}
+	level := zerolog.InfoLevel
+	if d.Verdict == forwarding.Forward {
+		level = zerolog.DebugLevel
+	}
+	if l.log.GetLevel() > level {
+		return
+	}
+	e := l.line(level)
+	if e == nil {
+		return
+	}
+	e.Stringer("flow", p.Flow).Stringer(logging.Reason, d.Reason).Uint32("cookie", p.Cookie).Uint64("config", version)
+	if d.Target.ID != 0 {
+		e.Uint64(logging.Server, d.Target.ID).Stringer(logging.Address, d.Target.Address)
+	}
+	e.Bool("open", p.Open).Uint32("repeat", p.Acknowledgement).Msg(verdictNames[d.Verdict])
+}
+
+var verdictNames = [...]string{"packet_dropped", "flow_assigned", "flow_reset"}
+
+func (l *eventLog) action(a forwarding.Action) {
+	e := l.line(zerolog.InfoLevel)
+	if e == nil {
+		return
+	}
+	e.Str(logging.Server, a.Server)
+	if a.Kind != forwarding.Probe {
+		e.Stringer("flow", a.Flow).Stringer(logging.Reason, a.Reason)
+	}
+	e.Msg(actionNames[a.Kind])
+}
+
+var actionNames = [...]string{"flow_reset", "opening_packet_moved", "server_suspected"}
+
+func (l *eventLog) probed(server string, outcome forwarding.ProbeOutcome, stalled bool, took time.Duration, err error) {
+	e := l.line(zerolog.InfoLevel)
+	if e == nil {
+		return
+	}
+	e.Str(logging.Server, server).Str("outcome", outcomeNames[outcome]).Bool("stalled", stalled).Dur(logging.Duration, took).Err(err).Msg("server_probed")
+}
+
+var outcomeNames = [...]string{"answered", "refused", "silent"}
+
+func (l *eventLog) malformed(from netip.AddrPort, err error) {
+	if e := l.line(zerolog.WarnLevel); e != nil {
+		e.Stringer(logging.Caller, from).Uint16(logging.Code, errorCode(err)).Err(err).Msg("packet_malformed")
+	}
+}
+
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// counters are the metrics of the data path.
+type counters struct {
+	malformed, socketErrors, proactiveResets, probes metrics.Counter
+	verdicts                                         [3]metrics.Counter
+}
+
+func (c *counters) decision(d forwarding.Decision) { c.verdicts[d.Verdict].Inc() }
--- /dev/null
+++ b/internal/forwarder/packets.go
@@ -0,0 +1,122 @@
+package forwarder
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/platform/wire"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// probeTimeout bounds a connection attempt: 80 times the delay to another failure
+// domain and back.
+const probeTimeout = 250 * time.Millisecond
+
+// servePackets forwards until the socket is closed.
+func (f *Forwarder) servePackets() error {
+	// The envelope for the server goes before the packet, so that the packet is sent
+	// from where it was read.
+	buffer := make([]byte, wire.EnvelopeBytes+wire.MaxPacketBytes+1)
+	for {
+		n, from, err := f.packets.ReadFromUDPAddrPort(buffer[wire.EnvelopeBytes:])
+		if err != nil {
+			if isClosed(err) {
+				return nil
+			}
+			// A datagram that could not be delivered reports its error at a later read.
+			f.counters.socketErrors.Inc()
+			continue
+		}
+		f.handlePacket(buffer[:wire.EnvelopeBytes+n], from)
+	}
+}
+
+func (f *Forwarder) handlePacket(b []byte, from netip.AddrPort) {
+	raw := b[wire.EnvelopeBytes:]
+	p, err := wire.DecodePacket(raw)
+	if err != nil {
+		f.counters.malformed.Inc()
+		f.events.malformed(from, err)
+		return
+	}
+	now := f.now()
+	f.packetAt.Store(int64(now))
+	f.mu.Lock()
+	decision, actions := f.engine.Packet(now, p, raw)
+	version, _ := f.engine.Version()
+	f.mu.Unlock()
+	f.counters.decision(decision)
+	switch decision.Verdict {
+	case forwarding.Forward:
+		f.send(b, decision.Target)
+	case forwarding.ResetFlow:
+		f.reset(p.Flow, p.Acknowledgement)
+	}
+	f.events.decided(p, decision, version)
+	if len(actions) > 0 {
+		f.perform(actions)
+	}
+}
+
+// send writes envelope and cookie into b and sends it to the server.
+func (f *Forwarder) send(b []byte, to forwarding.Target) {
+	wire.PutServerID(b, to.ID)
+	wire.PutCookie(b[wire.EnvelopeBytes:], to.Cookie)
+	if _, err := f.packets.WriteToUDPAddrPort(b, to.Address); err != nil {
+		f.counters.socketErrors.Inc()
+	}
+}
+
+func (f *Forwarder) reset(flow forwarding.FlowKey, sequence uint32) {
+	var b [wire.HeaderBytes]byte
+	packet := wire.AppendReset(b[:0], flow, sequence)
+	if _, err := f.packets.WriteToUDPAddrPort(packet, netip.AddrPortFrom(flow.ClientAddr(), f.clientPort)); err != nil {
+		f.counters.socketErrors.Inc()
+	}
+}
+
+// perform carries out what the engine wants done.
+func (f *Forwarder) perform(actions []forwarding.Action) {
+	for _, a := range actions {
+		f.events.action(a)
+		switch a.Kind {
+		case forwarding.SendReset:
+			f.counters.proactiveResets.Inc()
+			f.reset(a.Flow, a.Sequence)
+		case forwarding.SendPacket:
+			b := make([]byte, wire.EnvelopeBytes, wire.EnvelopeBytes+len(a.Packet))
+			f.send(append(b, a.Packet...), a.Target)
+		case forwarding.Probe:
+			go f.probe(a)
+		}
+	}
+}
+
+// probe attempts a TCP connection to the server and reports the outcome.
+func (f *Forwarder) probe(a forwarding.Action) {
+	f.counters.probes.Inc()
+	started := f.now()
+	conn, err := net.DialTimeout("tcp4", a.Target.Address.String(), probeTimeout)
+	outcome := forwarding.Answered
+	switch {
+	case err == nil:
+		conn.Close()
+	case isRefused(err):
+		outcome = forwarding.Refused
+	default:
+		outcome = forwarding.Silent
+	}
+	now := f.now()
+	// A timer that fires late means that the process did not run.
+	stalled := now-started > probeTimeout+probeTimeout/2
+	f.mu.Lock()
+	actions := f.engine.Probed(now, a.Server, outcome, stalled)
+	f.mu.Unlock()
+	f.events.probed(a.Server, outcome, stalled, now-started, err)
+	f.perform(actions)
+}
+
+// errorCode returns the number for log lines.
+func errorCode(err error) uint16 { return uint16(result.CodeOf(err)) }
--- /dev/null
+++ b/internal/forwarder/settings.go
@@ -0,0 +1,147 @@
+// Package forwarder is the daemon around package forwarding: sockets, timers, the
+// platform's store, readiness, signals, and the messages between instances.
+package forwarder
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// Settings are the daemon's settings. A flag outranks its environment variable, which
+// outranks the settings file.
+type Settings struct {
+	InstanceID         string
+	FailureDomain      string
+	DatagramAddress    string
+	ReadyAddress       string
+	PeerAddress        string
+	Seeds              string
+	StoreAddress       string
+	MemoryMB           int
+	MaxFlowLifetime    time.Duration
+	GracePeriod        time.Duration
+	ConfigurationBound time.Duration
+	DrainBound         time.Duration
+	LogLevel           string
+}
+
+// AddFlags registers the settings as flags.
+func (s *Settings) AddFlags(f *pflag.FlagSet) {
+	f.StringVar(&s.InstanceID, "instance-id", "", "ID of this entry instance, unique in the deployment")
+	f.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this entry instance")
+	f.StringVar(&s.DatagramAddress, "datagram-address", "", "ip:port for packets of clients; resets go to the clients' address at this port")
+	f.StringVar(&s.ReadyAddress, "ready-address", "", "ip:port for HTTP readiness and metrics")
+	f.StringVar(&s.PeerAddress, "peer-address", "", "ip:port for messages between instances, over UDP and TCP; all instances use this port")
+	f.StringVar(&s.Seeds, "seeds", "", "comma-separated ip:port of instances that may know the others; the port is replaced by that of --peer-address")
+	f.StringVar(&s.StoreAddress, "store-address", "", "ip:port of the platform's store")
+	f.IntVar(&s.MemoryMB, "memory-mb", 256, "memory that the process may use, in MB; bounds the flow table")
+	f.DurationVar(&s.MaxFlowLifetime, "max-flow-lifetime", time.Minute, "longest lifetime of a flow; servers that left stay known for twice this time")
+	f.DurationVar(&s.GracePeriod, "grace-period", 6*time.Second, "time between SIGTERM and SIGKILL")
+	f.DurationVar(&s.ConfigurationBound, "configuration-bound", 3*time.Second, "time in which an accepted configuration must be in force")
+	f.DurationVar(&s.DrainBound, "drain-bound", 3*time.Second, "time in which a draining server must get no more new flows")
+	f.StringVar(&s.LogLevel, "log-level", "info", "least severe level that is logged: debug, info, warn or error")
+}
+
+// ApplyFile sets each flag that a line name=value names and that was not set before.
+// Blank lines, lines that start with # and unknown names are skipped.
+func ApplyFile(f *pflag.FlagSet, r io.Reader) error {
+	var errs []error
+	scanner := bufio.NewScanner(r)
+	for n := 1; scanner.Scan(); n++ {
+		line := strings.TrimSpace(scanner.Text())
+		name, value, found := strings.Cut(line, "=")
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if !found {
+			errs = append(errs, result.Errorf(result.SettingsInvalid, "line %d: %q is not name=value", n, line))
+			continue
+		}
+		flag := f.Lookup(strings.TrimSpace(name))
+		if flag == nil || flag.Changed {
+			continue
+		}
+		if err := f.Set(flag.Name, strings.TrimSpace(value)); err != nil {
+			errs = append(errs, result.Errorf(result.SettingsInvalid, "line %d: %w", n, err))
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		errs = append(errs, result.Errorf(result.SettingsInvalid, "read settings: %w", err))
+	}
+	return errors.Join(errs...)
+}
+
+// Check returns every mistake in the settings, each with the setting's name.
+func (s *Settings) Check() error {
+	var errs []error
+	bad := func(name, format string, args ...any) {
+		errs = append(errs, result.Errorf(result.SettingsInvalid, "--%s: %s", name, fmt.Sprintf(format, args...)))
+	}
+	if s.InstanceID == "" {
+		bad("instance-id", "must not be empty")
+	}
+	if s.FailureDomain == "" {
+		bad("failure-domain", "must not be empty")
+	}
+	for _, a := range []struct{ name, value string }{
+		{"datagram-address", s.DatagramAddress}, {"ready-address", s.ReadyAddress},
+		{"peer-address", s.PeerAddress}, {"store-address", s.StoreAddress},
+	} {
+		if v, err := netip.ParseAddrPort(a.value); err != nil || v.Port() == 0 || !v.Addr().Is4() {
+			bad(a.name, "%q must be IPv4:port with a port from 1 to 65535", a.value)
+		}
+	}
+	if _, err := s.SeedAddresses(); err != nil {
+		bad("seeds", "%v", err)
+	}
+	if s.MemoryMB < 16 || s.MemoryMB > 1<<20 {
+		bad("memory-mb", "%d must be from 16 to %d", s.MemoryMB, 1<<20)
+	}
+	for _, d := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"max-flow-lifetime", s.MaxFlowLifetime}, {"grace-period", s.GracePeriod},
+		{"configuration-bound", s.ConfigurationBound}, {"drain-bound", s.DrainBound},
+	} {
+		if d.value < 100*time.Millisecond || d.value > 24*time.Hour {
+			bad(d.name, "%v must be from 100ms to 24h", d.value)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// SeedAddresses returns the peer addresses of the seeds.
+func (s *Settings) SeedAddresses() ([]netip.AddrPort, error) {
+	peer, err := netip.ParseAddrPort(s.PeerAddress)
+	if err != nil || s.Seeds == "" {
+		return nil, nil
+	}
+	var out []netip.AddrPort
+	for text := range strings.SplitSeq(s.Seeds, ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, fmt.Errorf("%q is not ip:port", text)
+		}
+		if a.Addr() != peer.Addr() {
+			out = append(out, netip.AddrPortFrom(a.Addr(), peer.Port()))
+		}
+	}
+	return out, nil
+}
+
+// bytesPerFlow is what a flow costs in the table, with the map's entry and the spare
+// room of its last growth.
+const bytesPerFlow = 256
+
+// MaxFlows returns how many flows fit into half of the memory.
+func (s *Settings) MaxFlows() int { return s.MemoryMB << 20 / 2 / bytesPerFlow }
--- /dev/null
+++ b/internal/forwarder/store.go
@@ -0,0 +1,160 @@
+package forwarder
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/directory"
+	"github.com/monsoonthread/monsoonthread/internal/logging"
+	"github.com/monsoonthread/monsoonthread/platform/kv"
+	"github.com/monsoonthread/monsoonthread/platform/wire"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. It also bounds the time until a
+	// connection that has gone silent is noticed.
+	watchWait = 1500 * time.Millisecond
+	// batchPause collects changes that follow each other, so that a storm of changes
+	// costs few calls. It is a tenth of the shortest bound on a change.
+	batchPause = 300 * time.Millisecond
+	// retryPause follows a failed call.
+	retryPause = 250 * time.Millisecond
+	// everything is the prefix of all keys: one watch covers configuration, servers and
+	// instances.
+	everything = ""
+)
+
+// followStore lists the store and then watches it.
+func (f *Forwarder) followStore(ctx context.Context) {
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = f.watchOnce(ctx)
+			if result.CodeOf(err) == result.StoreHistoryGone {
+				listed = false
+			}
+		} else if err = f.list(ctx); err == nil {
+			listed = true
+		}
+		if err != nil {
+			f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("store_call_failed")
+			f.store.CloseIdle()
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// list reads all records.
+func (f *Forwarder) list(ctx context.Context) error {
+	var records []directory.Record
+	var asOf uint64
+	for after := ""; ; {
+		page, err := f.store.Range(ctx, everything, after)
+		if err != nil {
+			return err
+		}
+		if asOf == 0 {
+			asOf = page.AsOf
+		}
+		records = append(records, toRecords(page.Items)...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	f.mu.Lock()
+	news := f.table.Replace(f.now(), records, asOf)
+	f.mu.Unlock()
+	f.apply(news)
+	return nil
+}
+
+// watchOnce applies the next changes and then pauses for a batch.
+func (f *Forwarder) watchOnce(ctx context.Context) error {
+	f.mu.Lock()
+	after := f.table.AsOf()
+	f.mu.Unlock()
+	events, err := f.store.Watch(ctx, everything, after, watchWait)
+	if err != nil {
+		return err
+	}
+	if len(events.Events) == 0 {
+		return nil
+	}
+	f.mu.Lock()
+	news := f.table.Merge(f.now(), toRecords(events.Events))
+	f.table.Advance(events.AsOf)
+	f.mu.Unlock()
+	f.apply(news)
+	sleep(ctx, batchPause)
+	return nil
+}
+
+func toRecords(items []kv.Item) []directory.Record {
+	records := make([]directory.Record, 0, len(items))
+	for _, i := range items {
+		records = append(records, directory.Record{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+	}
+	return records
+}
+
+// apply passes changed records to the engine.
+func (f *Forwarder) apply(news []directory.Record) {
+	for _, r := range news {
+		switch {
+		case r.Key == wire.ConfigurationKey && !r.Removed:
+			f.applyConfiguration(r)
+		case strings.HasPrefix(r.Key, wire.ServerPrefix):
+			f.applyServer(r)
+		}
+	}
+	f.mu.Lock()
+	_, configured := f.engine.Version()
+	f.mu.Unlock()
+	if configured {
+		f.lifecycle.fire(caughtUp)
+	}
+}
+
+func (f *Forwarder) applyConfiguration(r directory.Record) {
+	c, err := wire.DecodeConfiguration(r.Value)
+	if err != nil {
+		f.log.Error().Uint16(logging.Code, errorCode(err)).Err(err).Msg("configuration_malformed")
+		return
+	}
+	f.mu.Lock()
+	inForce := f.engine.Configure(f.now(), c)
+	f.mu.Unlock()
+	f.log.Info().Uint64(logging.Version, c.Version).Int("routes", len(c.Routes)).Uint64("revision", r.Revision).Bool("in_force", inForce).Msg("configuration")
+}
+
+func (f *Forwarder) applyServer(r directory.Record) {
+	if r.Value == nil {
+		return // a removal of a record that was never known
+	}
+	s, err := wire.DecodeServer(r.Key, r.Value, r.Revision)
+	if err != nil {
+		f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
+		return
+	}
+	put := f.engine.PutServer
+	if r.Removed {
+		put = f.engine.RemoveServer
+	}
+	f.mu.Lock()
+	actions := put(f.now(), s)
+	f.mu.Unlock()
+	f.log.Info().Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
+		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.Born).Uint64("revision", r.Revision).Msg("server")
+	f.perform(actions)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -71,6 +71,7 @@
 	ListUnavailable  Code = 505
 	PeerProtocol     Code = 506
 	StoreMalformed   Code = 507
+	StoreHistoryGone Code = 508
 
 	SettingsInvalid    Code = 601
 	CertificateInvalid Code = 602
