Ask who answers at a backend server's address; probe servers that stay silent

Cause: during store outages addresses go to hosts of other services. Ruled out: resets on connection silence alone (FLOW broken when an address moves). Change: a probe reads the ID of the answering server; a server with requests under way and no progress for 120 ms is probed; three silent probes and 400 ms without progress reset its flows. Conclusion: identity matters; what is left are the windows after all instances stop.

--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -30,7 +30,8 @@
 type Configuration struct {
 	Version     uint64
 	Routes      []Route
-	IdleTimeout time.Duration // after which a flow may be forgotten; 0 for the default
+	HealthPaths map[string]string // of the services
+	IdleTimeout time.Duration     // after which a flow may be forgotten; 0 for the default
 }
 
 type routeKey struct {
@@ -85,6 +86,9 @@
 		e.configuredAt = now
 	}
 	e.routes, e.version, e.configured = routes, c.Version, true
+	for name, path := range c.HealthPaths {
+		e.service(name).healthPath = path
+	}
 	e.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
 		e.idleTimeout = c.IdleTimeout
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -44,6 +44,11 @@
 	free         []*flow
 	pending      []pendingOpen // in the order of their times
 	nextForget   time.Duration
+	busy         map[*server]struct{} // servers with requests under way
+
+	lastProgress       time.Duration // at any server
+	lastProgressServer *server
+	otherProgress      time.Duration // last progress at a server other than lastProgressServer
 }
 
 // pendingOpen keeps an opening packet until its flow is open.
@@ -66,6 +71,7 @@
 		servers:     make(map[string]*server),
 		byCookie:    make(map[uint32][]*server),
 		flows:       make(map[FlowKey]*flow),
+		busy:        make(map[*server]struct{}),
 	}
 }
 
@@ -123,11 +129,11 @@
 			e.assign(f, s)
 		}
 		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
-		f.server.progress(now)
+		e.progress(now, f.server)
 	}
 	s := f.server
 	actions := e.observe(now, f, p)
-	if s.resettable(now, f) {
+	if e.resettable(now, f) {
 		d := Decision{Verdict: ResetFlow, Reason: ServerDead, Target: s.target()}
 		e.drop(f)
 		return d, actions
@@ -173,7 +179,7 @@
 
 // Tick does what time alone brings about. It is due about every 50 ms.
 func (e *Engine) Tick(now time.Duration) []Action {
-	actions := e.checkPending(now)
+	actions := append(e.checkPending(now), e.checkSilence(now)...)
 	for _, s := range e.servers {
 		v := &s.evidence
 		if v.state >= suspected && s.listed && !v.replaced && !v.probing && now >= v.nextProbe {
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -7,13 +7,19 @@
 	// server suspect: ten times the delay to a client and a server of another domain,
 	// below the 200 ms after which a client repeats the packet.
 	openSuspectAfter = 60 * time.Millisecond
-	// repeatSuspectAfter is the age of data that is sent again; clients repeat after
-	// 200 ms.
-	repeatSuspectAfter = 150 * time.Millisecond
-	// resetUnreachableAfter is the time without progress on any flow before flows of an
-	// unreachable server are reset. It is above half a second, the longest time that
-	// packets wait in a link that still counts as working.
-	resetUnreachableAfter = 900 * time.Millisecond
+	// silentSuspectAfter is the time without progress on any flow of a server with
+	// requests under way that makes it suspect: the longest requests take about as long.
+	silentSuspectAfter = 120 * time.Millisecond
+	// suspectAgain is the time between probes of a server that answers them.
+	suspectAgain = 400 * time.Millisecond
+	// resetUnreachableAfter and silentProbes are the time without progress on any flow
+	// and the probes without an answer before flows of an unreachable server are reset.
+	// A reset of a working flow is the worst error, so silence must repeat.
+	resetUnreachableAfter = 400 * time.Millisecond
+	silentProbes          = 3
+	// linkProofAge is the age up to which progress at another server shows that the
+	// instance's own link works.
+	linkProofAge = 100 * time.Millisecond
 	// probeAgain is the time between attempts to reach a dead server.
 	probeAgain = time.Second
 )
@@ -40,6 +46,7 @@
 	since        time.Duration // of the suspicion
 	lastProgress time.Duration // last sign of life on any flow
 	nextProbe    time.Duration
+	nextSuspect  time.Duration
 }
 
 // ProbeOutcome is the outcome of a connection attempt.
@@ -49,12 +56,18 @@
 const (
 	Answered ProbeOutcome = iota
 	Refused
-	Silent
+	Silent      // no connection in time
+	Mute        // connected, but no answer in time
+	OtherServer // the address belongs to another server
 )
 
 // progress notes a sign of life of the server.
-func (s *server) progress(now time.Duration) {
+func (e *Engine) progress(now time.Duration, s *server) {
 	s.evidence.lastProgress = now
+	if e.lastProgressServer != s {
+		e.lastProgressServer, e.otherProgress = s, e.lastProgress
+	}
+	e.lastProgress = now
 	if s.evidence.state == suspected {
 		s.evidence.state = trusted
 	}
@@ -63,7 +76,7 @@
 // suspect starts a probe of the server unless one is under way.
 func (e *Engine) suspect(now time.Duration, s *server) []Action {
 	v := &s.evidence
-	if v.probing || v.state >= unreachable {
+	if v.probing || v.state >= unreachable || v.replaced || now < v.nextSuspect {
 		return nil
 	}
 	if v.state == trusted {
@@ -74,7 +87,7 @@
 
 func (e *Engine) probe(s *server) []Action {
 	s.evidence.probing = true
-	return []Action{{Kind: Probe, Target: s.target(), Server: s.Name}}
+	return []Action{{Kind: Probe, Target: s.target(), Server: s.Name, Path: s.service.healthPath}}
 }
 
 // Probed applies the outcome of a probe. stalled says that the process itself did not
@@ -87,12 +100,13 @@
 	v := &s.evidence
 	v.probing = false
 	switch outcome {
-	case Answered:
+	case Answered, Mute:
+		// A server that accepts connections but is slow to answer may be busy.
 		if !v.replaced {
-			v.state, v.silent, v.lastProgress = trusted, 0, now
+			v.state, v.silent, v.nextSuspect = trusted, 0, now+suspectAgain
 		}
 		return nil
-	case Refused:
+	case Refused, OtherServer:
 		return e.declareDead(now, s)
 	}
 	v.nextProbe = now + probeAgain
@@ -108,17 +122,33 @@
 func (e *Engine) silentProbe(now time.Duration, s *server) []Action {
 	v := &s.evidence
 	if v.state == suspected {
-		v.state = unreachable
-		v.nextProbe = now
+		v.state, v.nextProbe = unreachable, now
 		return e.reopen(now, s)
 	}
-	if now-v.lastProgress < resetUnreachableAfter || now-v.since < resetUnreachableAfter {
+	if !e.certainlyUnreachable(now, s) {
 		v.nextProbe = now
 		return nil
 	}
 	return e.resetFlows(now, s, false)
 }
 
+// certainlyUnreachable reports whether flows may be reset although nothing refused a
+// connection.
+func (e *Engine) certainlyUnreachable(now time.Duration, s *server) bool {
+	v := &s.evidence
+	return v.state == unreachable && v.silent >= silentProbes &&
+		now-v.lastProgress >= resetUnreachableAfter && now-v.since >= resetUnreachableAfter &&
+		now-e.progressElsewhere(s) <= linkProofAge
+}
+
+// progressElsewhere returns the time of the last progress at another server.
+func (e *Engine) progressElsewhere(s *server) time.Duration {
+	if e.lastProgressServer == s {
+		return e.otherProgress
+	}
+	return e.lastProgress
+}
+
 // declareDead moves waiting opening packets to other servers and resets all flows.
 func (e *Engine) declareDead(now time.Duration, s *server) []Action {
 	v := &s.evidence
@@ -173,12 +203,39 @@
 
 // resettable reports whether a packet of the flow is answered with a reset because of
 // its server's state.
-func (s *server) resettable(now time.Duration, f *flow) bool {
-	switch s.evidence.state {
-	case dead:
+func (e *Engine) resettable(now time.Duration, f *flow) bool {
+	if f.server.evidence.state == dead {
 		return true
-	case unreachable:
-		return s.evidence.silent > 1 && now-s.evidence.lastProgress >= resetUnreachableAfter && (f.kind != NonIdempotent || !f.waiting)
 	}
-	return false
+	return (f.kind != NonIdempotent || !f.waiting) && e.certainlyUnreachable(now, f.server)
+}
+
+// checkSilence suspects servers that make no progress with the requests under way.
+func (e *Engine) checkSilence(now time.Duration) []Action {
+	var actions []Action
+	for s := range e.busy {
+		if now-max(s.waitingFrom, s.evidence.lastProgress) >= silentSuspectAfter {
+			actions = append(actions, e.suspect(now, s)...)
+		}
+	}
+	return actions
+}
+
+// setWaiting notes whether a request is under way on the flow.
+func (e *Engine) setWaiting(now time.Duration, f *flow, waiting bool) {
+	if f.waiting == waiting {
+		return
+	}
+	f.waiting = waiting
+	s := f.server
+	if !waiting {
+		if s.waiting--; s.waiting == 0 {
+			delete(e.busy, s)
+		}
+		return
+	}
+	if s.waiting++; s.waiting == 1 {
+		s.waitingFrom = now
+		e.busy[s] = struct{}{}
+	}
 }
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -45,6 +45,7 @@
 
 // assign moves a flow to another server.
 func (e *Engine) assign(f *flow, s *server) {
+	e.setWaiting(0, f, false)
 	f.server.flows--
 	f.server = s
 	s.flows++
@@ -52,6 +53,7 @@
 
 // drop forgets a flow.
 func (e *Engine) drop(f *flow) {
+	e.setWaiting(0, f, false)
 	if f.state != closing {
 		f.server.flows--
 	}
@@ -60,45 +62,46 @@
 	e.free = append(e.free, f)
 }
 
+// immediateAck is the progress that a client acknowledges at once: two packets. It
+// acknowledges a single packet later, which would count as response time.
+const immediateAck = 1201
+
 // observe takes evidence and samples from a packet of an open flow.
 func (e *Engine) observe(now time.Duration, f *flow, p Packet) []Action {
 	f.seenAt = millis(now)
-	s := f.server
-	answered := p.Acknowledges && after(p.Acknowledgement, f.ack)
-	if answered {
-		f.ack = p.Acknowledgement
-		s.progress(now)
-		// An acknowledgement that comes with the next request says nothing about the
-		// response time.
-		if f.waiting && p.Length == 0 {
-			s.addSample(now - duration(f.sentAt))
+	if p.Acknowledges && after(p.Acknowledgement, f.ack) {
+		if f.waiting && p.Length == 0 && p.Acknowledgement-f.ack >= immediateAck {
+			f.server.addSample(now - duration(f.sentAt))
 		}
-		f.waiting = false
+		f.ack = p.Acknowledgement
+		e.progress(now, f.server)
+		e.setWaiting(now, f, false)
 	}
 	var actions []Action
 	if p.Length > 0 {
 		actions = e.observeData(now, f, p)
 	}
 	if (p.Finish || p.Reset) && f.state == open {
+		e.setWaiting(now, f, false)
 		f.state = closing
-		s.flows--
+		f.server.flows--
 	}
 	return actions
 }
 
 func (e *Engine) observeData(now time.Duration, f *flow, p Packet) []Action {
-	if !after(p.Sequence+uint32(p.Length), f.seq) {
-		s := f.server
-		sent := duration(f.sentAt)
-		if f.waiting && now-sent >= repeatSuspectAfter && s.evidence.lastProgress < sent {
-			return e.suspect(now, s)
+	end := p.Sequence + uint32(p.Length)
+	if after(end, f.seq) {
+		f.seq = end
+		if !f.waiting && f.state == open {
+			e.setWaiting(now, f, true)
+			f.sentAt = millis(now)
 		}
 		return nil
 	}
-	f.seq = p.Sequence + uint32(p.Length)
-	if !f.waiting {
-		f.waiting = true
-		f.sentAt = millis(now)
+	// Data that is sent again has had no answer.
+	if f.waiting && f.server.evidence.lastProgress < duration(f.sentAt) {
+		return e.suspect(now, f.server)
 	}
 	return nil
 }
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -96,7 +96,7 @@
 const (
 	SendReset  ActionKind = iota // reset Flow with Sequence
 	SendPacket                   // send Packet, a kept opening packet, to Target
-	Probe                        // attempt a TCP connection to Target and report the outcome
+	Probe                        // ask at Target for Server and report the outcome
 )
 
 // Action is something that the engine wants done outside a packet's own decision.
@@ -106,6 +106,7 @@
 	Sequence uint32
 	Packet   []byte
 	Target   Target
-	Server   string // name of the server, for log lines
+	Server   string // name of the server
+	Path     string // of the health call that tells who answers
 	Reason   Reason
 }
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -34,6 +34,7 @@
 
 type service struct {
 	name          string
+	healthPath    string
 	local, remote []*server // listed servers of the own and of other failure domains
 	serviceTime   float64   // moving average over all servers, in nanoseconds
 }
@@ -48,9 +49,11 @@
 	removedAt time.Duration
 	coldUntil time.Duration
 
-	flows       int32   // open flows in the own table
-	peerFlows   int32   // open flows that the peers report
-	serviceTime float64 // moving average of response times in nanoseconds; 0 without samples
+	flows       int32         // open flows in the own table
+	peerFlows   int32         // open flows that the peers report
+	serviceTime float64       // moving average of response times in nanoseconds; 0 without samples
+	waiting     int32         // requests under way in the own table
+	waitingFrom time.Duration // since when at least one is
 
 	evidence evidence
 }
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"errors"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -87,7 +85,7 @@
 	e.Str(logging.Server, server).Str("outcome", outcomeNames[outcome]).Bool("stalled", stalled).Dur(logging.Duration, took).Err(err).Msg("server_probed")
 }
 
-var outcomeNames = [...]string{"answered", "refused", "silent"}
+var outcomeNames = [...]string{"answered", "refused", "silent", "mute", "other_server"}
 
 func (l *eventLog) malformed(from netip.AddrPort, err error) {
 	if e := l.line(zerolog.WarnLevel); e != nil {
@@ -95,10 +93,6 @@
 	}
 }
 
-func isRefused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // counters are the metrics of the data path.
 type counters struct {
 	malformed, socketErrors, proactiveResets, probes metrics.Counter
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -1,19 +1,14 @@
 package forwarder
 
 import (
-	"net"
 	"net/netip"
-	"time"
 
 	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/platform/health"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
-// probeTimeout bounds a connection attempt: 80 times the delay to another failure
-// domain and back.
-const probeTimeout = 250 * time.Millisecond
-
 // servePackets forwards until the socket is closed.
 func (f *Forwarder) servePackets() error {
 	// The envelope for the server goes before the packet, so that the packet is sent
@@ -94,23 +89,14 @@
 	}
 }
 
-// probe attempts a TCP connection to the server and reports the outcome.
+// probe asks for the server at its address and reports the outcome.
 func (f *Forwarder) probe(a forwarding.Action) {
 	f.counters.probes.Inc()
 	started := f.now()
-	conn, err := net.DialTimeout("tcp4", a.Target.Address.String(), probeTimeout)
-	outcome := forwarding.Answered
-	switch {
-	case err == nil:
-		conn.Close()
-	case isRefused(err):
-		outcome = forwarding.Refused
-	default:
-		outcome = forwarding.Silent
-	}
+	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
 	now := f.now()
 	// A timer that fires late means that the process did not run.
-	stalled := now-started > probeTimeout+probeTimeout/2
+	stalled := outcome == forwarding.Silent && now-started > health.ConnectTimeout+health.ConnectTimeout/2
 	f.mu.Lock()
 	actions := f.engine.Probed(now, a.Server, outcome, stalled)
 	f.mu.Unlock()
