Watch the store once in a failure domain and share loads between instances

Change: package mesh (watch duty, delegates, pulls), peer/exchange, registration under a long lease; utilization from flows of all instances, measured response times and requests per flow; flows leave the domain above 70% use.

--- a/directory/table.go
+++ b/directory/table.go
@@ -110,6 +110,15 @@
 	return out
 }
 
+// Get returns a record that is not removed.
+func (t *Table) Get(key string) (Record, bool) {
+	e := t.entries[key]
+	if e == nil || e.Removed {
+		return Record{}, false
+	}
+	return e.Record, true
+}
+
 // Expire forgets removed records that are older than the retention time.
 func (t *Table) Expire(now time.Duration) {
 	for key, e := range t.entries {
--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// remotePenalty is how much less loaded a server of another failure domain must be:
-	// a flow that crosses pays the delay both ways and does not survive a cut.
-	remotePenalty = 1.5
+	// spillUtilization is the utilization of the own failure domain's least busy server
+	// from which flows may go to other domains: below it, requests rarely wait on two
+	// slots. A flow that crosses does not survive a cut and pays the delay both ways.
+	spillUtilization = 0.7
+	// spillGain is how much less busy the other domain's server must be.
+	spillGain = 0.7
 	// sampleSize bounds the servers compared for one flow, so that a choice takes the
 	// same time with 19 and with 12,000 servers. Up to this number all are compared.
 	sampleSize = 8
@@ -41,14 +44,17 @@
 
 // best returns the least loaded usable server of a service.
 func (e *Engine) best(now time.Duration, svc *service) *server {
-	local, localLoad := e.leastLoaded(now, svc.local, (*server).usableAt)
-	remote, remoteLoad := e.leastLoaded(now, svc.remote, (*server).usableAt)
-	switch {
-	case local != nil && (remote == nil || localLoad <= remoteLoad*remotePenalty):
+	local, localBusy := e.leastLoaded(now, svc.local, (*server).usableAt)
+	if local != nil && localBusy < spillUtilization {
 		return local
-	case remote != nil:
+	}
+	remote, remoteBusy := e.leastLoaded(now, svc.remote, (*server).usableAt)
+	if remote != nil && (local == nil || remoteBusy < localBusy*spillGain) {
 		return remote
 	}
+	if local != nil {
+		return local
+	}
 	if s, _ := e.leastLoaded(now, svc.local, (*server).usableAfterRemoval); s != nil {
 		return s
 	}
@@ -74,7 +80,7 @@
 			continue
 		}
 		seen++
-		if load := s.load(now); best == nil || load < bestLoad {
+		if load := s.utilization(now); best == nil || load < bestLoad {
 			best, bestLoad = s, load
 		}
 	}
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -46,6 +46,9 @@
 	nextForget   time.Duration
 	busy         map[*server]struct{} // servers with requests under way
 
+	peerLoads map[string]peerLoads
+	nextRates time.Duration
+
 	lastProgress       time.Duration // at any server
 	lastProgressServer *server
 	otherProgress      time.Duration // last progress at a server other than lastProgressServer
@@ -72,6 +75,7 @@
 		byCookie:    make(map[uint32][]*server),
 		flows:       make(map[FlowKey]*flow),
 		busy:        make(map[*server]struct{}),
+		peerLoads:   make(map[string]peerLoads),
 	}
 }
 
@@ -187,6 +191,8 @@
 		}
 	}
 	e.expire(now)
+	e.expirePeerLoads(now)
+	e.measureRates(now)
 	if now >= e.nextForget {
 		e.nextForget = now + forgetInterval
 		e.forgetServers(now)
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -96,6 +96,7 @@
 		if !f.waiting && f.state == open {
 			e.setWaiting(now, f, true)
 			f.sentAt = millis(now)
+			f.server.service.requests++
 		}
 		return nil
 	}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -37,6 +37,8 @@
 	healthPath    string
 	local, remote []*server // listed servers of the own and of other failure domains
 	serviceTime   float64   // moving average over all servers, in nanoseconds
+	requests      float64   // recent requests and the flow seconds that they took
+	flowSeconds   float64
 }
 
 type server struct {
@@ -52,6 +54,7 @@
 	flows       int32         // open flows in the own table
 	peerFlows   int32         // open flows that the peers report
 	serviceTime float64       // moving average of response times in nanoseconds; 0 without samples
+	peerTime    float64       // the same as a peer measures it
 	waiting     int32         // requests under way in the own table
 	waitingFrom time.Duration // since when at least one is
 
@@ -71,19 +74,6 @@
 	return !s.listed && !s.Draining && !s.shadowed && s.evidence.state == trusted && now-s.removedAt <= entryReturnTime
 }
 
-// load estimates the share of the server's slots that its flows keep busy, in
-// nanoseconds of work per flow and slot.
-func (s *server) load(now time.Duration) float64 {
-	t := s.serviceTime
-	if t == 0 {
-		t = s.service.serviceTime
-	}
-	if now < s.coldUntil {
-		t *= coldFactor
-	}
-	return float64(s.flows+s.peerFlows+1) * t / float64(s.Slots)
-}
-
 func (s *server) addSample(d time.Duration) {
 	if s.serviceTime == 0 {
 		s.serviceTime = s.service.serviceTime
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"github.com/monsoonthread/monsoonthread/directory"
 	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/mesh"
 	"github.com/monsoonthread/monsoonthread/platform/kv"
 	"github.com/monsoonthread/monsoonthread/result"
 )
@@ -26,7 +27,7 @@
 	storeTimeout = 800 * time.Millisecond
 )
 
-// Forwarder is one entry instance. mu guards engine and table; it is the only lock and
+// Forwarder is one entry instance. mu guards engine, table and mesh; it is the only lock and
 // is never held during I/O.
 type Forwarder struct {
 	settings   atomic.Pointer[Settings]
@@ -40,10 +41,16 @@
 	events     *eventLog
 	counters   counters
 	packetAt   atomic.Int64 // time of the last packet, in nanoseconds since start
+	caughtUp   atomic.Bool  // the first records are current
+
+	self        mesh.Peer
+	incarnation uint64
+	peers       *peers
 
 	mu     sync.Mutex
 	engine *forwarding.Engine
 	table  *directory.Table
+	mesh   *mesh.Mesh
 }
 
 // New opens the sockets. reload reads the settings again.
@@ -56,14 +63,24 @@
 	if err != nil {
 		return nil, result.Errorf(result.SettingsInvalid, "--datagram-address: %w", err)
 	}
+	peerSockets, err := listenPeers(s.PeerAddress)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	self := mesh.Peer{ID: s.InstanceID, Domain: s.FailureDomain, Address: netip.MustParseAddrPort(s.PeerAddress)}
 	f := &Forwarder{
-		reload:     reload,
-		log:        log,
-		start:      time.Now(),
-		packets:    conn,
-		clientPort: address.Port(),
-		store:      kv.New(s.StoreAddress, storeTimeout),
-		events:     newEventLog(log),
+		self:        self,
+		incarnation: uint64(time.Now().UnixNano()),
+		peers:       peerSockets,
+		mesh:        mesh.New(mesh.Config{Self: self, FreshTime: freshTime}),
+		reload:      reload,
+		log:         log,
+		start:       time.Now(),
+		packets:     conn,
+		clientPort:  address.Port(),
+		store:       kv.New(s.StoreAddress, storeTimeout),
+		events:      newEventLog(log),
 		engine: forwarding.New(forwarding.Config{
 			Domain:         s.FailureDomain,
 			CookieLifetime: 2 * s.MaxFlowLifetime,
@@ -85,6 +102,7 @@
 // Run serves until ctx ends and the flows have moved to other instances.
 func (f *Forwarder) Run(ctx context.Context) error {
 	defer f.packets.Close()
+	defer f.peers.close()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	go f.reloadOnSignal(work)
@@ -93,7 +111,10 @@
 		return err
 	}
 	defer server.Close()
+	go f.servePeers()
 	go f.followStore(work)
+	go f.speak(work)
+	go f.register(work)
 	go f.tick(work)
 	served := make(chan error, 1)
 	go func() { served <- f.servePackets() }()
--- a/internal/forwarder/lifecycle.go
+++ b/internal/forwarder/lifecycle.go
@@ -44,6 +44,7 @@
 	machine *stateless.StateMachine
 	log     zerolog.Logger
 	isReady atomic.Bool
+	leaving atomic.Bool
 }
 
 func newLifecycle(log zerolog.Logger) *lifecycle {
@@ -53,6 +54,7 @@
 	l.machine.Configure(leaving).Ignore(caughtUp).Ignore(stopRequest).Ignore(fellBehind)
 	l.machine.OnTransitioned(func(_ context.Context, t stateless.Transition) {
 		l.isReady.Store(t.Destination == ready)
+		l.leaving.Store(t.Destination == leaving)
 		log.Info().Interface(logging.State, t.Destination).Interface(logging.Reason, t.Trigger).Msg("lifecycle")
 	})
 	return l
--- /dev/null
+++ b/internal/forwarder/peers.go
@@ -0,0 +1,275 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/directory"
+	"github.com/monsoonthread/monsoonthread/internal/logging"
+	"github.com/monsoonthread/monsoonthread/mesh"
+	"github.com/monsoonthread/monsoonthread/peer/exchange"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	// pullTimeout bounds a pull of records.
+	pullTimeout = time.Second
+	// domainSource marks the loads of a whole failure domain among the sources.
+	domainSource = "domain:"
+)
+
+// peers holds the sockets of the exchange with other instances.
+type peers struct {
+	datagrams *net.UDPConn
+	listener  net.Listener
+}
+
+func listenPeers(address string) (*peers, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, result.Errorf(result.SettingsInvalid, "--peer-address: %w", err)
+	}
+	datagrams, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, result.Errorf(result.SettingsInvalid, "--peer-address: %w", err)
+	}
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		datagrams.Close()
+		return nil, result.Errorf(result.SettingsInvalid, "--peer-address: %w", err)
+	}
+	return &peers{datagrams, listener}, nil
+}
+
+func (p *peers) close() {
+	p.datagrams.Close()
+	p.listener.Close()
+}
+
+// servePeers receives messages and answers pulls until the sockets are closed.
+func (f *Forwarder) servePeers() {
+	go f.servePulls()
+	b := make([]byte, exchange.MaxStatusBytes)
+	for {
+		n, from, err := f.peers.datagrams.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			f.counters.socketErrors.Inc()
+			continue
+		}
+		m, err := exchange.Decode(b[:n])
+		if err != nil {
+			f.events.malformed(from, err)
+			continue
+		}
+		f.receive(m)
+	}
+}
+
+// receive applies a datagram of a peer.
+func (f *Forwarder) receive(m *exchange.Message) {
+	now := f.now()
+	f.mu.Lock()
+	if m.Status != nil {
+		f.mesh.Heard(now, *m.Status)
+		f.engine.SetPeerLoads(now, f.loadSource(m.Status.Peer), m.Loads)
+		for _, d := range m.Foreign {
+			if d.Domain != f.self.Domain {
+				f.engine.SetPeerLoads(now, domainSource+d.Domain, d.Loads)
+			}
+		}
+	}
+	f.mu.Unlock()
+	if len(m.Records) > 0 {
+		f.mergeRecords(m)
+	}
+}
+
+// loadSource names the source of a peer's loads: itself in the own failure domain, its
+// whole domain elsewhere.
+func (f *Forwarder) loadSource(p mesh.Peer) string {
+	if p.Domain == f.self.Domain {
+		return p.ID
+	}
+	return domainSource + p.Domain
+}
+
+// mergeRecords applies records that a peer sent. The table is complete up to the
+// message's revision only if it was complete up to its base.
+func (f *Forwarder) mergeRecords(m *exchange.Message) {
+	f.mu.Lock()
+	news := f.table.Merge(f.now(), m.Records)
+	if m.Base <= f.table.AsOf() {
+		f.table.Advance(m.AsOf)
+	}
+	f.mu.Unlock()
+	f.apply(news)
+}
+
+// speak sends the status at intervals and pulls what is missing.
+func (f *Forwarder) speak(ctx context.Context) {
+	ticker := time.NewTicker(mesh.StatusInterval)
+	defer ticker.Stop()
+	for {
+		f.sendStatus()
+		f.pullMissing(ctx)
+		f.mu.Lock()
+		f.table.Expire(f.now())
+		f.mesh.Forget(f.now())
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// status returns the own status; the caller holds mu.
+func (f *Forwarder) status(now time.Duration) mesh.Status {
+	return f.mesh.Self(now, f.incarnation, f.table.AsOf(), f.lifecycle.leaving.Load())
+}
+
+// sendStatus sends the status to the peers of the own failure domain and, as its
+// delegate, the sum of the domain's loads to other domains.
+func (f *Forwarder) sendStatus() {
+	now := f.now()
+	f.mu.Lock()
+	status := f.status(now)
+	m := exchange.Message{Status: &status, Loads: f.engine.Loads()}
+	domain := f.mesh.DomainPeers(now)
+	var foreign []netip.AddrPort
+	var sum exchange.Message
+	if f.mesh.Delegate(now) {
+		foreign = f.mesh.ForeignPeers(now)
+		sum = exchange.Message{Status: &status, Loads: f.engine.DomainLoads(f.mesh.DomainIDs())}
+	}
+	for _, d := range f.mesh.ForeignDomains() {
+		if loads, ok := f.engine.PeerLoads(domainSource + d); ok {
+			m.Foreign = append(m.Foreign, exchange.DomainLoads{Domain: d, Loads: loads})
+		}
+	}
+	if !f.mesh.Delegate(now) {
+		m.Foreign = nil // only one instance passes on what it heard, else old news would go round
+	}
+	f.mu.Unlock()
+	f.sendDatagram(exchange.Append(nil, &m), domain)
+	if len(foreign) > 0 {
+		f.sendDatagram(exchange.Append(nil, &sum), foreign)
+	}
+}
+
+func (f *Forwarder) sendDatagram(b []byte, to []netip.AddrPort) {
+	for _, a := range to {
+		if _, err := f.peers.datagrams.WriteToUDPAddrPort(b, a); err != nil {
+			f.counters.socketErrors.Inc()
+		}
+	}
+}
+
+// push sends changes that were just read from the store to the own failure domain.
+func (f *Forwarder) push(news []directory.Record, base, asOf uint64) {
+	if len(news) == 0 {
+		return
+	}
+	b := exchange.Append(nil, &exchange.Message{Records: news, Base: base, AsOf: asOf})
+	if len(b) > exchange.MaxDatagramBytes {
+		f.sendStatus() // the peers pull
+		return
+	}
+	f.mu.Lock()
+	to := f.mesh.DomainPeers(f.now())
+	f.mu.Unlock()
+	f.sendDatagram(b, to)
+}
+
+// pullMissing pulls records from a peer that is ahead.
+func (f *Forwarder) pullMissing(ctx context.Context) {
+	f.mu.Lock()
+	now := f.now()
+	asOf := f.table.AsOf()
+	from, behind := f.mesh.PullFrom(now, asOf)
+	if !behind {
+		f.mesh.Confirmed(now, asOf)
+	}
+	f.mu.Unlock()
+	if !behind {
+		return
+	}
+	if err := f.pull(ctx, from.Address, asOf); err != nil {
+		f.log.Warn().Str(logging.Peer, from.ID).Uint16(logging.Code, errorCode(err)).Err(err).Msg("pull_failed")
+	}
+}
+
+// pull reads the records after a revision from a peer.
+func (f *Forwarder) pull(ctx context.Context, from netip.AddrPort, asOf uint64) error {
+	dialer := net.Dialer{Timeout: pullTimeout / 2}
+	conn, err := dialer.DialContext(ctx, "tcp4", from.String())
+	if err != nil {
+		return result.Errorf(result.PeerUnreachable, "pull: %w", err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(pullTimeout)); err != nil {
+		return result.Errorf(result.PeerUnreachable, "pull: %w", err)
+	}
+	// Base 0 would be left out, which reads as 0.
+	if err := exchange.WriteFrame(conn, &exchange.Message{Base: asOf}); err != nil {
+		return result.Errorf(result.PeerUnreachable, "pull: %w", err)
+	}
+	m, err := exchange.ReadFrame(conn, exchange.MaxFrameBytes)
+	if err != nil {
+		return result.Errorf(result.PeerUnreachable, "pull: %w", err)
+	}
+	f.mu.Lock()
+	for _, p := range m.Members {
+		f.mesh.Learn(p, false)
+	}
+	if m.Status != nil {
+		f.mesh.Heard(f.now(), *m.Status)
+	}
+	f.mu.Unlock()
+	f.mergeRecords(m)
+	f.mu.Lock()
+	f.mesh.Confirmed(f.now(), f.table.AsOf())
+	f.mu.Unlock()
+	return nil
+}
+
+// servePulls answers pulls of other instances.
+func (f *Forwarder) servePulls() {
+	for {
+		conn, err := f.peers.listener.Accept()
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			f.counters.socketErrors.Inc()
+			time.Sleep(tickInterval)
+			continue
+		}
+		go f.servePull(conn)
+	}
+}
+
+func (f *Forwarder) servePull(conn net.Conn) {
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(pullTimeout)); err != nil {
+		return
+	}
+	request, err := exchange.ReadFrame(conn, exchange.MaxPullBytes)
+	if err != nil {
+		f.counters.socketErrors.Inc()
+		return
+	}
+	f.mu.Lock()
+	status := f.status(f.now())
+	answer := exchange.Message{Status: &status, Records: f.table.Since(request.Base), Base: request.Base, AsOf: f.table.AsOf(), Members: f.mesh.Members()}
+	f.mu.Unlock()
+	if err := exchange.WriteFrame(conn, &answer); err != nil {
+		f.counters.socketErrors.Inc()
+	}
+}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -7,6 +7,7 @@
 
 	"github.com/monsoonthread/monsoonthread/directory"
 	"github.com/monsoonthread/monsoonthread/internal/logging"
+	"github.com/monsoonthread/monsoonthread/mesh"
 	"github.com/monsoonthread/monsoonthread/platform/kv"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
@@ -21,28 +22,120 @@
 	batchPause = 300 * time.Millisecond
 	// retryPause follows a failed call.
 	retryPause = 250 * time.Millisecond
+	// dutyInterval is the time between checks whether this instance has to watch.
+	dutyInterval = 50 * time.Millisecond
+	// freshTime is the age up to which records count as current: a watch, the pause
+	// after it and the interval of status messages.
+	freshTime = watchWait + batchPause + 2*mesh.StatusInterval + 100*time.Millisecond
+	// seedPatience is how long a start waits for its seeds before it reads the store: a
+	// connection within a region and an answer take a few milliseconds.
+	seedPatience = 30 * time.Millisecond
 	// everything is the prefix of all keys: one watch covers configuration, servers and
 	// instances.
 	everything = ""
 )
 
-// followStore lists the store and then watches it.
+// followStore keeps the records current: from the store while this instance watches it,
+// else from the peers.
 func (f *Forwarder) followStore(ctx context.Context) {
-	listed := false
+	f.catchUp(ctx)
+	f.caughtUp.Store(true)
+	f.checkReady()
+	listed := f.complete()
 	for ctx.Err() == nil {
+		f.mu.Lock()
+		watch := f.mesh.Watch(f.now())
+		f.mu.Unlock()
+		if !watch {
+			sleep(ctx, dutyInterval)
+			continue
+		}
 		var err error
 		if listed {
 			err = f.watchOnce(ctx)
-			if result.CodeOf(err) == result.StoreHistoryGone {
-				listed = false
-			}
+			listed = result.CodeOf(err) != result.StoreHistoryGone
 		} else if err = f.list(ctx); err == nil {
 			listed = true
 		}
-		if err != nil {
-			f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("store_call_failed")
-			f.store.CloseIdle()
-			sleep(ctx, retryPause)
+		f.noteCall(ctx, err)
+	}
+}
+
+// noteCall tells the mesh how a call went and pauses after a failure.
+func (f *Forwarder) noteCall(ctx context.Context, err error) {
+	code := result.CodeOf(err)
+	failed := err != nil && code != result.StoreHistoryGone
+	f.mu.Lock()
+	if failed {
+		f.mesh.StoreFailed(f.now())
+	} else if err == nil {
+		f.mesh.StoreAnswered(f.now())
+	}
+	f.mu.Unlock()
+	if err == nil {
+		return
+	}
+	f.log.Warn().Uint16(logging.Code, uint16(code)).Err(err).Msg("store_call_failed")
+	if failed {
+		f.store.CloseIdle()
+		sleep(ctx, retryPause)
+	}
+}
+
+// complete reports whether the records are a whole picture.
+func (f *Forwarder) complete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.AsOf() > 0
+}
+
+// catchUp brings the first records: from a peer whose records are current, because that
+// costs the store nothing and also brings the servers that left; else from the store;
+// else from any peer.
+func (f *Forwarder) catchUp(ctx context.Context) {
+	pulled := make(chan struct{}, 1)
+	go func() {
+		f.pullFromSeeds(ctx)
+		pulled <- struct{}{}
+	}()
+	select {
+	case <-ctx.Done():
+	case <-pulled:
+	case <-time.After(seedPatience):
+	}
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		fresh := f.mesh.Fresh(f.now()) && f.table.AsOf() > 0
+		f.mu.Unlock()
+		if fresh {
+			return
+		}
+		err := f.list(ctx)
+		f.noteCall(ctx, err)
+		if err == nil || f.complete() {
+			return
+		}
+	}
+}
+
+// pullFromSeeds asks all seeds for records at the same time and returns once one of
+// them had current ones or all have answered.
+func (f *Forwarder) pullFromSeeds(ctx context.Context) {
+	seeds, err := f.settings.Load().SeedAddresses()
+	if err != nil {
+		return
+	}
+	answers := make(chan error, len(seeds))
+	for _, a := range seeds {
+		go func() { answers <- f.pull(ctx, a, 0) }()
+	}
+	for range seeds {
+		<-answers
+		f.mu.Lock()
+		fresh := f.mesh.Fresh(f.now())
+		f.mu.Unlock()
+		if fresh {
+			return
 		}
 	}
 }
@@ -82,12 +175,16 @@
 		return err
 	}
 	if len(events.Events) == 0 {
+		f.mu.Lock()
+		f.table.Advance(events.AsOf)
+		f.mu.Unlock()
 		return nil
 	}
 	f.mu.Lock()
 	news := f.table.Merge(f.now(), toRecords(events.Events))
 	f.table.Advance(events.AsOf)
 	f.mu.Unlock()
+	f.push(news, after, events.AsOf)
 	f.apply(news)
 	sleep(ctx, batchPause)
 	return nil
@@ -109,12 +206,19 @@
 			f.applyConfiguration(r)
 		case strings.HasPrefix(r.Key, wire.ServerPrefix):
 			f.applyServer(r)
+		case strings.HasPrefix(r.Key, instancePrefix):
+			f.applyInstance(r)
 		}
 	}
+	f.checkReady()
+}
+
+// checkReady makes the instance ready once it has current records with a configuration.
+func (f *Forwarder) checkReady() {
 	f.mu.Lock()
 	_, configured := f.engine.Version()
 	f.mu.Unlock()
-	if configured {
+	if configured && f.caughtUp.Load() {
 		f.lifecycle.fire(caughtUp)
 	}
 }
--- /dev/null
+++ b/peer/exchange/exchange.go
@@ -0,0 +1,319 @@
+// Package exchange encodes the messages between forwarders. Status and records that fit
+// travel as datagrams; larger sets of records are pulled over a connection. The fields
+// use the protocol buffers wire format, so that new fields can be added.
+package exchange
+
+import (
+	"encoding/binary"
+	"io"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/monsoonthread/monsoonthread/directory"
+	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/mesh"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+const (
+	// MaxDatagramBytes is the size up to which records are pushed; a datagram of this
+	// size is not fragmented.
+	MaxDatagramBytes = 1200
+	// MaxStatusBytes bounds a status with the loads of some hundred servers.
+	MaxStatusBytes = 16 << 10
+	// MaxFrameBytes bounds an answer to a pull: 12,000 servers and some configurations.
+	MaxFrameBytes = 16 << 20
+	// MaxPullBytes bounds a request.
+	MaxPullBytes = 64
+)
+
+// DomainLoads are the loads of another failure domain as its delegate stated them.
+type DomainLoads struct {
+	Domain string
+	Loads  []forwarding.Load
+}
+
+// Message is one message. Only the fields of its kind are set.
+type Message struct {
+	Status  *mesh.Status
+	Loads   []forwarding.Load // of the sender; of its whole domain if it speaks to another one
+	Foreign []DomainLoads     // what the sender heard from other domains
+
+	Records []directory.Record
+	Base    uint64 // Records hold all changes after this revision
+	AsOf    uint64 // up to this one
+	Members []mesh.Peer
+}
+
+// Field numbers of a message.
+const (
+	fieldStatus  = 1
+	fieldLoad    = 2
+	fieldForeign = 3
+	fieldRecord  = 4
+	fieldBase    = 5
+	fieldAsOf    = 6
+	fieldMember  = 7
+)
+
+// Append appends the encoded message to b.
+func Append(b []byte, m *Message) []byte {
+	if m.Status != nil {
+		b = appendBytes(b, fieldStatus, appendStatus(nil, m.Status))
+	}
+	for i := range m.Loads {
+		b = appendBytes(b, fieldLoad, appendLoad(nil, &m.Loads[i]))
+	}
+	for i := range m.Foreign {
+		b = appendBytes(b, fieldForeign, appendForeign(nil, &m.Foreign[i]))
+	}
+	for i := range m.Records {
+		b = appendBytes(b, fieldRecord, appendRecord(nil, &m.Records[i]))
+	}
+	b = appendUint(b, fieldBase, m.Base)
+	b = appendUint(b, fieldAsOf, m.AsOf)
+	for i := range m.Members {
+		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
+	}
+	return b
+}
+
+func appendBytes(b []byte, field protowire.Number, v []byte) []byte {
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendBytes(b, v)
+}
+
+// appendUint appends a number; 0 is left out.
+func appendUint(b []byte, field protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+func appendBool(b []byte, field protowire.Number, v bool) []byte {
+	return appendUint(b, field, protowire.EncodeBool(v))
+}
+
+func appendPeer(b []byte, p *mesh.Peer) []byte {
+	b = appendBytes(b, 1, []byte(p.ID))
+	b = appendBytes(b, 2, []byte(p.Domain))
+	return appendBytes(b, 3, []byte(p.Address.String()))
+}
+
+func appendStatus(b []byte, s *mesh.Status) []byte {
+	b = appendBytes(b, 1, appendPeer(nil, &s.Peer))
+	b = appendUint(b, 2, s.Incarnation)
+	b = appendUint(b, 3, s.AsOf)
+	b = appendUint(b, 4, uint64(s.ContactAge/time.Millisecond))
+	b = appendBool(b, 5, s.Watching)
+	return appendBool(b, 6, s.Leaving)
+}
+
+func appendLoad(b []byte, l *forwarding.Load) []byte {
+	b = protowire.AppendVarint(b, uint64(l.Cookie))
+	b = protowire.AppendVarint(b, uint64(l.Flows))
+	return protowire.AppendVarint(b, uint64(l.ServiceTime/time.Microsecond))
+}
+
+func appendForeign(b []byte, f *DomainLoads) []byte {
+	b = appendBytes(b, 1, []byte(f.Domain))
+	for i := range f.Loads {
+		b = appendBytes(b, 2, appendLoad(nil, &f.Loads[i]))
+	}
+	return b
+}
+
+func appendRecord(b []byte, r *directory.Record) []byte {
+	b = appendBytes(b, 1, []byte(r.Key))
+	if r.Value != nil {
+		b = appendBytes(b, 2, r.Value)
+	}
+	b = appendUint(b, 3, r.Revision)
+	return appendBool(b, 4, r.Removed)
+}
+
+// Decode reads a message. It fails with code 506; fields that it does not know are
+// skipped.
+func Decode(b []byte) (*Message, error) {
+	m := new(Message)
+	err := fields(b, func(field protowire.Number, bytes []byte, number uint64) error {
+		switch field {
+		case fieldStatus:
+			m.Status = new(mesh.Status)
+			return decodeStatus(bytes, m.Status)
+		case fieldLoad:
+			return decodeLoad(bytes, &m.Loads)
+		case fieldForeign:
+			return decodeForeign(bytes, &m.Foreign)
+		case fieldRecord:
+			return decodeRecord(bytes, &m.Records)
+		case fieldBase:
+			m.Base = number
+		case fieldAsOf:
+			m.AsOf = number
+		case fieldMember:
+			var p mesh.Peer
+			if err := decodePeer(bytes, &p); err != nil {
+				return err
+			}
+			m.Members = append(m.Members, p)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, result.Errorf(result.PeerProtocol, "message: %w", err)
+	}
+	return m, nil
+}
+
+// fields calls f for each field: with bytes for a length-delimited one, else with the
+// number.
+func fields(b []byte, f func(field protowire.Number, bytes []byte, number uint64) error) error {
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		b = b[n:]
+		var bytes []byte
+		var number uint64
+		switch kind {
+		case protowire.BytesType:
+			bytes, n = protowire.ConsumeBytes(b)
+		case protowire.VarintType:
+			number, n = protowire.ConsumeVarint(b)
+		default:
+			n = protowire.ConsumeFieldValue(field, kind, b)
+		}
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		if err := f(field, bytes, number); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+func decodePeer(b []byte, p *mesh.Peer) error {
+	return fields(b, func(field protowire.Number, bytes []byte, _ uint64) (err error) {
+		switch field {
+		case 1:
+			p.ID = string(bytes)
+		case 2:
+			p.Domain = string(bytes)
+		case 3:
+			p.Address, err = netip.ParseAddrPort(string(bytes))
+		}
+		return err
+	})
+}
+
+// maxAge bounds a stated age; older is no different.
+const maxAge = uint64(time.Hour / time.Millisecond)
+
+func decodeStatus(b []byte, s *mesh.Status) error {
+	return fields(b, func(field protowire.Number, bytes []byte, number uint64) error {
+		switch field {
+		case 1:
+			return decodePeer(bytes, &s.Peer)
+		case 2:
+			s.Incarnation = number
+		case 3:
+			s.AsOf = number
+		case 4:
+			s.ContactAge = time.Duration(min(number, maxAge)) * time.Millisecond
+		case 5:
+			s.Watching = number != 0
+		case 6:
+			s.Leaving = number != 0
+		}
+		return nil
+	})
+}
+
+// maxLoad bounds a stated number of flows.
+const maxLoad = 1 << 24
+
+func decodeLoad(b []byte, out *[]forwarding.Load) error {
+	var numbers [3]uint64
+	for i := range numbers {
+		v, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		numbers[i], b = v, b[n:]
+	}
+	*out = append(*out, forwarding.Load{
+		Cookie: uint32(numbers[0]), Flows: int32(min(numbers[1], maxLoad)),
+		ServiceTime: time.Duration(min(numbers[2], maxAge)) * time.Microsecond,
+	})
+	return nil
+}
+
+func decodeForeign(b []byte, out *[]DomainLoads) error {
+	var f DomainLoads
+	err := fields(b, func(field protowire.Number, bytes []byte, _ uint64) error {
+		switch field {
+		case 1:
+			f.Domain = string(bytes)
+		case 2:
+			return decodeLoad(bytes, &f.Loads)
+		}
+		return nil
+	})
+	*out = append(*out, f)
+	return err
+}
+
+func decodeRecord(b []byte, out *[]directory.Record) error {
+	var r directory.Record
+	err := fields(b, func(field protowire.Number, bytes []byte, number uint64) error {
+		switch field {
+		case 1:
+			r.Key = string(bytes)
+		case 2:
+			r.Value = append([]byte{}, bytes...)
+		case 3:
+			r.Revision = number
+		case 4:
+			r.Removed = number != 0
+		}
+		return nil
+	})
+	*out = append(*out, r)
+	return err
+}
+
+// frameHeaderBytes is the size of a frame's length.
+const frameHeaderBytes = 4
+
+// WriteFrame writes a message with its length.
+func WriteFrame(w io.Writer, m *Message) error {
+	b := Append(make([]byte, frameHeaderBytes), m)
+	binary.BigEndian.PutUint32(b, uint32(len(b)-frameHeaderBytes))
+	_, err := w.Write(b)
+	return err
+}
+
+// ReadFrame reads a message of at most limit bytes.
+func ReadFrame(r io.Reader, limit uint32) (*Message, error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n > limit {
+		return nil, result.Errorf(result.PeerProtocol, "frame of %d bytes, at most %d", n, limit)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	return Decode(b)
+}
