Balance by measured request rates; notice refused opening packets at the client's next attempt

Ruled out: herding through old counts alone (a dump of one instance showed utilizations of 4 to 9 after the restart of all instances). Change: load is the measured and expected rate of requests times a low quantile of response times; an opening packet whose client tries again within a handshake's time makes its server suspect; verdicts go to the failure domain; suspicion after four times the usual handshake.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -47,6 +47,7 @@
 	busy         map[*server]struct{} // servers with requests under way
 
 	peerLoads map[string]peerLoads
+	handshake float64 // usual time of a handshake in nanoseconds
 	nextRates time.Duration
 
 	lastProgress       time.Duration // at any server
@@ -76,6 +77,7 @@
 		flows:       make(map[FlowKey]*flow),
 		busy:        make(map[*server]struct{}),
 		peerLoads:   make(map[string]peerLoads),
+		handshake:   float64(priorHandshake),
 	}
 }
 
@@ -100,18 +102,20 @@
 	if f != nil && f.state == opening && (f.server.evidence.state <= suspected) {
 		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
 	}
+	actions := e.suspectRefusals(now, p.Flow)
 	s := e.choose(now, r)
 	if s == nil {
-		return Decision{Verdict: ResetFlow, Reason: NoServer}, nil
+		return Decision{Verdict: ResetFlow, Reason: NoServer}, actions
 	}
 	if f != nil {
 		e.drop(f)
 	}
 	if len(e.flows) < e.cfg.MaxFlows {
 		f = e.track(now, p.Flow, s, r.kind)
+		s.meter.expected += s.service.flowRate()
 		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
 	}
-	return Decision{Verdict: Forward, Reason: Chosen, Target: s.target()}, nil
+	return Decision{Verdict: Forward, Reason: Chosen, Target: s.target()}, actions
 }
 
 func (e *Engine) continueFlow(now time.Duration, p Packet) (Decision, []Action) {
@@ -132,6 +136,9 @@
 			// The client answers the server whose cookie it returns.
 			e.assign(f, s)
 		}
+		if f.state == opening && f.seenAt != 0 && p.Acknowledges {
+			e.handshake += (float64(now-duration(f.sentAt)) - e.handshake) * handshakeGain
+		}
 		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
 		e.progress(now, f.server)
 	}
@@ -211,7 +218,7 @@
 		}
 		kept = append(kept, p)
 		sent := duration(f.sentAt)
-		if now-sent >= openSuspectAfter && f.server.evidence.lastProgress < sent {
+		if now-sent >= e.openSuspectAfter() && f.server.evidence.lastProgress < sent {
 			actions = append(actions, e.suspect(now, f.server)...)
 		}
 	}
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -3,10 +3,16 @@
 import "time"
 
 const (
-	// openSuspectAfter is the time without an answer to an opening packet that makes its
-	// server suspect: ten times the delay to a client and a server of another domain,
-	// below the 200 ms after which a client repeats the packet.
-	openSuspectAfter = 60 * time.Millisecond
+	// openSuspectFactor times the usual time of a handshake without an answer to an
+	// opening packet makes its server suspect, within the bounds below. A client repeats
+	// the packet after 200 ms.
+	openSuspectFactor = 4
+	minOpenSuspect    = 12 * time.Millisecond
+	maxOpenSuspect    = 60 * time.Millisecond
+	// priorHandshake stands for the usual time of a handshake before the first one.
+	priorHandshake = 6 * time.Millisecond
+	// handshakeGain is the weight of a new handshake in the moving average.
+	handshakeGain = 1.0 / 32
 	// silentSuspectAfter is the time without progress on any flow of a server with
 	// requests under way that makes it suspect: the longest requests take about as long.
 	silentSuspectAfter = 120 * time.Millisecond
@@ -73,6 +79,41 @@
 	}
 }
 
+// Suspect applies a peer's evidence against a server.
+func (e *Engine) Suspect(now time.Duration, cookie uint32) []Action {
+	var actions []Action
+	for _, s := range e.byCookie[cookie] {
+		actions = append(actions, e.suspect(now, s)...)
+	}
+	return actions
+}
+
+// suspectRefusals suspects the servers that a client's earlier opening packets went to:
+// a client whose attempt is reset opens the next flow within the time that a handshake
+// would have taken.
+func (e *Engine) suspectRefusals(now time.Duration, k FlowKey) []Action {
+	var actions []Action
+	for _, p := range e.pending[max(0, len(e.pending)-maxPendingLookup):] {
+		f := p.flow
+		if p.key != f.key || f.state != opening || f.key == k || f.key.Client != k.Client || f.key.Service != k.Service {
+			continue
+		}
+		if now-p.at >= time.Duration(e.handshake/2) && f.server.evidence.lastProgress < p.at {
+			actions = append(actions, e.suspect(now, f.server)...)
+		}
+	}
+	return actions
+}
+
+// maxPendingLookup bounds the work for one opening packet.
+const maxPendingLookup = 64
+
+// openSuspectAfter returns the time without an answer to an opening packet that makes
+// its server suspect.
+func (e *Engine) openSuspectAfter() time.Duration {
+	return min(max(time.Duration(e.handshake*openSuspectFactor), minOpenSuspect), maxOpenSuspect)
+}
+
 // suspect starts a probe of the server unless one is under way.
 func (e *Engine) suspect(now time.Duration, s *server) []Action {
 	v := &s.evidence
@@ -157,7 +198,9 @@
 		return nil
 	}
 	v.state, v.since = dead, now
-	return append(e.reopen(now, s), e.resetFlows(now, s, true)...)
+	actions := []Action{{Kind: TellPeers, Target: s.target(), Server: s.Name}}
+	actions = append(actions, e.reopen(now, s)...)
+	return append(actions, e.resetFlows(now, s, true)...)
 }
 
 // reopen sends the kept opening packets of a server that does not answer to others.
@@ -177,6 +220,7 @@
 			continue
 		}
 		e.assign(f, next)
+		next.meter.expected += next.service.flowRate()
 		f.sentAt = millis(now)
 		actions = append(actions, Action{Kind: SendPacket, Flow: f.key, Packet: p.packet, Target: next.target(), Server: next.Name, Reason: ServerDead})
 	}
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -71,7 +71,7 @@
 	f.seenAt = millis(now)
 	if p.Acknowledges && after(p.Acknowledgement, f.ack) {
 		if f.waiting && p.Length == 0 && p.Acknowledgement-f.ack >= immediateAck {
-			f.server.addSample(now - duration(f.sentAt))
+			f.server.meter.addSample(now - duration(f.sentAt))
 		}
 		f.ack = p.Acknowledgement
 		e.progress(now, f.server)
@@ -96,7 +96,7 @@
 		if !f.waiting && f.state == open {
 			e.setWaiting(now, f, true)
 			f.sentAt = millis(now)
-			f.server.service.requests++
+			f.server.meter.arrivals++
 		}
 		return nil
 	}
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -5,20 +5,31 @@
 const (
 	// peerLoadLifetime is how long a peer's loads count without being stated again.
 	peerLoadLifetime = 2 * time.Second
-	// rateInterval and rateDecay let the requests per flow follow within about 5 s.
-	rateInterval = time.Second
-	rateDecay    = 0.8
-	// priorFlowSeconds stands for the measurements before the first ones: one request a
-	// second and flow.
-	priorFlowSeconds = 5
+	// rateInterval and rateGain let the measured rate of requests follow a change
+	// within about a second.
+	rateInterval = 250 * time.Millisecond
+	rateGain     = 0.2
+	// A new flow counts with the requests per second that flows of its service make,
+	// within these bounds, until its requests are measured. Idle flows would otherwise
+	// make new ones look free of load.
+	minFlowRate = 0.8
+	maxFlowRate = 4.0
+	// Response times are followed by a low quantile, since the slower ones contain
+	// waiting, which says nothing about the server's speed. meanOverQuantile leads back
+	// to the mean, for work that varies by half.
+	serviceQuantile  = 0.3
+	quantileStep     = 0.05
+	meanOverQuantile = 1.4
+	// trustedSamples is the number of own samples that outweighs what peers measure.
+	trustedSamples = 8
 )
 
-// Load is the number of open flows that a source keeps on a server and the response
-// time that it measures there.
+// Load is the rate of requests that a source causes at a server and the time that one
+// takes there as the source measures it.
 type Load struct {
 	Cookie      uint32
-	Flows       int32
-	ServiceTime time.Duration // 0 without samples
+	Rate        float64       // requests per second
+	ServiceTime time.Duration // without waiting; 0 without samples
 }
 
 type peerLoads struct {
@@ -26,17 +37,48 @@
 	at    time.Duration
 }
 
+// meter measures what the own flows cause at a server.
+type meter struct {
+	arrivals    int32   // in the current interval
+	rate        float64 // moving average of requests per second
+	expected    float64 // requests per second of new flows that are not measured yet
+	quantile    float64 // of response times, in nanoseconds
+	samples     int32
+	peerRate    float64
+	peerService float64 // time of a request as a peer measures it, in nanoseconds
+}
+
+func (m *meter) addSample(d time.Duration) {
+	x := float64(d)
+	switch {
+	case m.samples == 0:
+		m.quantile = x
+	case x < m.quantile:
+		m.quantile -= m.quantile * quantileStep * (1 - serviceQuantile) * 2
+	default:
+		m.quantile += m.quantile * quantileStep * serviceQuantile * 2
+	}
+	m.samples++
+}
+
 // Loads returns the loads that this instance causes.
 func (e *Engine) Loads() []Load {
 	var out []Load
 	for _, s := range e.servers {
-		if s.flows > 0 {
-			out = append(out, Load{Cookie: s.cookie, Flows: s.flows, ServiceTime: time.Duration(s.serviceTime)})
+		if rate := s.meter.rate + s.meter.expected; rate > minStatedRate {
+			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: s.measuredTime()})
 		}
 	}
 	return out
 }
 
+// minStatedRate leaves out servers that get next to nothing.
+const minStatedRate = 0.01
+
+func (s *server) measuredTime() time.Duration {
+	return time.Duration(s.meter.quantile * meanOverQuantile)
+}
+
 // DomainLoads returns the loads that this instance and the named sources cause together.
 func (e *Engine) DomainLoads(sources []string) []Load {
 	sum := make(map[uint32]Load)
@@ -44,7 +86,7 @@
 		for _, l := range loads {
 			t := sum[l.Cookie]
 			t.Cookie = l.Cookie
-			t.Flows += l.Flows
+			t.Rate += l.Rate
 			t.ServiceTime = max(t.ServiceTime, l.ServiceTime)
 			sum[l.Cookie] = t
 		}
@@ -73,12 +115,12 @@
 	return p.loads, ok
 }
 
-func (e *Engine) addPeerLoads(loads []Load, sign int32) {
+func (e *Engine) addPeerLoads(loads []Load, sign float64) {
 	for _, l := range loads {
 		for _, s := range e.byCookie[l.Cookie] {
-			s.peerFlows += sign * l.Flows
+			s.meter.peerRate = max(s.meter.peerRate+sign*l.Rate, 0)
 			if sign > 0 && l.ServiceTime > 0 {
-				s.peerTime = float64(l.ServiceTime)
+				s.meter.peerService = float64(l.ServiceTime)
 			}
 		}
 	}
@@ -94,34 +136,55 @@
 	}
 }
 
-// measureRates updates the requests per second of a service's open flows.
+// measureRates updates the rates of requests once per interval.
 func (e *Engine) measureRates(now time.Duration) {
 	if now < e.nextRates {
 		return
 	}
 	e.nextRates = now + rateInterval
 	for _, s := range e.services {
-		s.requests *= rateDecay
-		s.flowSeconds *= rateDecay
+		s.rate, s.flows, s.service, s.measured = 0, 0, 0, 0
 	}
 	for _, s := range e.servers {
-		s.service.flowSeconds += float64(s.flows) * rateInterval.Seconds()
+		m := &s.meter
+		m.rate += (float64(m.arrivals)/rateInterval.Seconds() - m.rate) * rateGain
+		m.expected *= 1 - rateGain
+		m.arrivals = 0
+		s.service.rate += m.rate
+		s.service.flows += s.flows
+		if m.samples >= trustedSamples {
+			s.service.service += m.quantile * meanOverQuantile
+			s.service.measured++
+		}
 	}
 }
 
-// flowRate returns the requests per second of one open flow.
+// flowRate returns the requests per second that a new flow is expected to make.
 func (s *service) flowRate() float64 {
-	return (s.requests + priorFlowSeconds/10) / (s.flowSeconds + priorFlowSeconds/10)
+	if s.flows == 0 {
+		return minFlowRate
+	}
+	return min(max(s.rate/float64(s.flows), minFlowRate), maxFlowRate)
 }
 
-// responseTime returns the estimated response time of the server in nanoseconds.
-func (s *server) responseTime(now time.Duration) float64 {
-	t := s.serviceTime
-	if t == 0 {
-		t = s.peerTime
+// serviceTime returns the mean time of a request at the measured servers.
+func (s *service) serviceTime() float64 {
+	if s.measured == 0 {
+		return float64(defaultServiceTime)
+	}
+	return s.service / float64(s.measured)
+}
+
+// requestTime returns the time that a request takes at the server without waiting, in
+// nanoseconds.
+func (s *server) requestTime(now time.Duration) float64 {
+	m := &s.meter
+	t := m.quantile * meanOverQuantile
+	if m.samples < trustedSamples && m.peerService > 0 {
+		t = m.peerService
 	}
 	if t == 0 {
-		t = s.service.serviceTime
+		t = s.service.serviceTime()
 	}
 	if now < s.coldUntil {
 		t *= coldFactor
@@ -129,9 +192,10 @@
 	return t
 }
 
-// utilization estimates the share of the server's slots that its flows keep busy once it
-// has one more.
+// utilization estimates the share of the server's slots that is busy once it has one
+// more flow.
 func (s *server) utilization(now time.Duration) float64 {
-	flows := float64(max(s.flows+s.peerFlows, 0) + 1)
-	return flows * s.service.flowRate() * s.responseTime(now) / float64(time.Second) / float64(s.Slots)
+	m := &s.meter
+	rate := m.rate + m.expected + m.peerRate + s.service.flowRate()
+	return rate * s.requestTime(now) / float64(time.Second) / float64(s.Slots)
 }
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -96,6 +96,7 @@
 const (
 	SendReset  ActionKind = iota // reset Flow with Sequence
 	SendPacket                   // send Packet, a kept opening packet, to Target
+	TellPeers                    // tell the failure domain that Server looks dead
 	Probe                        // ask at Target for Server and report the outcome
 )
 
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -13,9 +13,6 @@
 	defaultServiceTime = 20 * time.Millisecond
 	// coldFactor is the assumed slow-down of a server that has just started.
 	coldFactor = 2
-	// serviceTimeGain is the weight of a new sample in the moving average: 1/16
-	// follows a change of load within about 20 requests.
-	serviceTimeGain = 1.0 / 16
 )
 
 // Server is what the records say about one backend server.
@@ -36,9 +33,12 @@
 	name          string
 	healthPath    string
 	local, remote []*server // listed servers of the own and of other failure domains
-	serviceTime   float64   // moving average over all servers, in nanoseconds
-	requests      float64   // recent requests and the flow seconds that they took
-	flowSeconds   float64
+
+	// Sums over the servers, taken once per interval.
+	rate     float64 // requests per second of the own flows
+	flows    int32
+	service  float64 // request times of the measured servers, in nanoseconds
+	measured int32
 }
 
 type server struct {
@@ -51,10 +51,8 @@
 	removedAt time.Duration
 	coldUntil time.Duration
 
-	flows       int32         // open flows in the own table
-	peerFlows   int32         // open flows that the peers report
-	serviceTime float64       // moving average of response times in nanoseconds; 0 without samples
-	peerTime    float64       // the same as a peer measures it
+	flows       int32 // open flows in the own table
+	meter       meter
 	waiting     int32         // requests under way in the own table
 	waitingFrom time.Duration // since when at least one is
 
@@ -74,18 +72,10 @@
 	return !s.listed && !s.Draining && !s.shadowed && s.evidence.state == trusted && now-s.removedAt <= entryReturnTime
 }
 
-func (s *server) addSample(d time.Duration) {
-	if s.serviceTime == 0 {
-		s.serviceTime = s.service.serviceTime
-	}
-	s.serviceTime += (float64(d) - s.serviceTime) * serviceTimeGain
-	s.service.serviceTime += (float64(d) - s.service.serviceTime) * serviceTimeGain / 4
-}
-
 func (e *Engine) service(name string) *service {
 	s := e.services[name]
 	if s == nil {
-		s = &service{name: name, serviceTime: float64(defaultServiceTime)}
+		s = &service{name: name}
 		e.services[name] = s
 	}
 	return s
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -69,13 +69,13 @@
 		return
 	}
 	e.Str(logging.Server, a.Server)
-	if a.Kind != forwarding.Probe {
+	if a.Kind < forwarding.TellPeers {
 		e.Stringer("flow", a.Flow).Stringer(logging.Reason, a.Reason)
 	}
 	e.Msg(actionNames[a.Kind])
 }
 
-var actionNames = [...]string{"flow_reset", "opening_packet_moved", "server_suspected"}
+var actionNames = [...]string{"flow_reset", "opening_packet_moved", "server_dead", "server_suspected"}
 
 func (l *eventLog) probed(server string, outcome forwarding.ProbeOutcome, stalled bool, took time.Duration, err error) {
 	e := l.line(zerolog.InfoLevel)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// tickInterval is the resolution of the engine's timers; half of the shortest one.
-	tickInterval = 25 * time.Millisecond
+	// tickInterval is the resolution of the engine's timers, just below the shortest one.
+	tickInterval = 10 * time.Millisecond
 	// storeTimeout bounds a call beyond the time that a watch waits. The store answers
 	// in 4 ms, and in 240 ms when it is slow.
 	storeTimeout = 800 * time.Millisecond
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -83,6 +83,8 @@
 		case forwarding.SendPacket:
 			b := make([]byte, wire.EnvelopeBytes, wire.EnvelopeBytes+len(a.Packet))
 			f.send(append(b, a.Packet...), a.Target)
+		case forwarding.TellPeers:
+			f.tellSuspect(a.Target.Cookie)
 		case forwarding.Probe:
 			go f.probe(a)
 		}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/directory"
+	"github.com/monsoonthread/monsoonthread/forwarding"
 	"github.com/monsoonthread/monsoonthread/internal/logging"
 	"github.com/monsoonthread/monsoonthread/mesh"
 	"github.com/monsoonthread/monsoonthread/peer/exchange"
@@ -83,7 +84,12 @@
 			}
 		}
 	}
+	var actions []forwarding.Action
+	for _, cookie := range m.Suspects {
+		actions = append(actions, f.engine.Suspect(now, cookie)...)
+	}
 	f.mu.Unlock()
+	f.perform(actions)
 	if len(m.Records) > 0 {
 		f.mergeRecords(m)
 	}
@@ -187,6 +193,14 @@
 	f.sendDatagram(b, to)
 }
 
+// tellSuspect passes evidence against a server to the own failure domain.
+func (f *Forwarder) tellSuspect(cookie uint32) {
+	f.mu.Lock()
+	to := f.mesh.DomainPeers(f.now())
+	f.mu.Unlock()
+	f.sendDatagram(exchange.Append(nil, &exchange.Message{Suspects: []uint32{cookie}}), to)
+}
+
 // pullMissing pulls records from a peer that is ahead.
 func (f *Forwarder) pullMissing(ctx context.Context) {
 	f.mu.Lock()
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -45,6 +45,8 @@
 	Base    uint64 // Records hold all changes after this revision
 	AsOf    uint64 // up to this one
 	Members []mesh.Peer
+
+	Suspects []uint32 // cookies of servers that look dead to the sender
 }
 
 // Field numbers of a message.
@@ -56,6 +58,7 @@
 	fieldBase    = 5
 	fieldAsOf    = 6
 	fieldMember  = 7
+	fieldSuspect = 8
 )
 
 // Append appends the encoded message to b.
@@ -77,6 +80,10 @@
 	for i := range m.Members {
 		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
 	}
+	for _, cookie := range m.Suspects {
+		b = protowire.AppendTag(b, fieldSuspect, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(cookie))
+	}
 	return b
 }
 
@@ -115,7 +122,7 @@
 
 func appendLoad(b []byte, l *forwarding.Load) []byte {
 	b = protowire.AppendVarint(b, uint64(l.Cookie))
-	b = protowire.AppendVarint(b, uint64(l.Flows))
+	b = protowire.AppendVarint(b, uint64(l.Rate*rateScale))
 	return protowire.AppendVarint(b, uint64(l.ServiceTime/time.Microsecond))
 }
 
@@ -155,6 +162,8 @@
 			m.Base = number
 		case fieldAsOf:
 			m.AsOf = number
+		case fieldSuspect:
+			m.Suspects = append(m.Suspects, uint32(number))
 		case fieldMember:
 			var p mesh.Peer
 			if err := decodePeer(bytes, &p); err != nil {
@@ -237,8 +246,12 @@
 	})
 }
 
-// maxLoad bounds a stated number of flows.
-const maxLoad = 1 << 24
+const (
+	// rateScale turns requests per second into whole numbers.
+	rateScale = 100
+	// maxRate bounds a stated rate, in hundredths of requests per second.
+	maxRate = 1 << 30
+)
 
 func decodeLoad(b []byte, out *[]forwarding.Load) error {
 	var numbers [3]uint64
@@ -250,7 +263,7 @@
 		numbers[i], b = v, b[n:]
 	}
 	*out = append(*out, forwarding.Load{
-		Cookie: uint32(numbers[0]), Flows: int32(min(numbers[1], maxLoad)),
+		Cookie: uint32(numbers[0]), Rate: float64(min(numbers[1], maxRate)) / rateScale,
 		ServiceTime: time.Duration(min(numbers[2], maxAge)) * time.Microsecond,
 	})
 	return nil
