Reset flows of silent servers after 300 ms; prove the own link first

Cause: a silent server's flows were reset 0.5 s after its last answer, after the deadline of Hearthwhisker's requests. Ruled out: waiting only for connections (a full link delays all of them; resets would then break working flows). A quick answer of another server within 150 ms shows that the link works.

--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -55,11 +55,14 @@
 	if local != nil {
 		return local
 	}
-	if s, _ := e.leastLoaded(now, svc.local, (*server).usableAfterRemoval); s != nil {
-		return s
+	for _, usable := range []func(*server, time.Duration) bool{(*server).usableAfterRemoval, (*server).usableAsLastResort} {
+		for _, servers := range [][]*server{svc.local, svc.remote} {
+			if s, _ := e.leastLoaded(now, servers, usable); s != nil {
+				return s
+			}
+		}
 	}
-	s, _ := e.leastLoaded(now, svc.remote, (*server).usableAfterRemoval)
-	return s
+	return nil
 }
 
 func (s *server) usableAt(time.Duration) bool { return s.usable() }
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -50,9 +51,9 @@
 	handshake float64 // usual time of a handshake in nanoseconds
 	nextRates time.Duration
 
-	lastProgress       time.Duration // at any server
-	lastProgressServer *server
-	otherProgress      time.Duration // last progress at a server other than lastProgressServer
+	lastQuick   time.Duration // last quick answer of any server
+	quickServer *server
+	otherQuick  time.Duration // last quick answer of a server other than quickServer
 }
 
 // pendingOpen keeps an opening packet until its flow is open.
@@ -120,7 +121,7 @@
 
 func (e *Engine) continueFlow(now time.Duration, p Packet) (Decision, []Action) {
 	f := e.flows[p.Flow]
-	reason := ByFlow
+	reason, tracked := ByFlow, false
 	if f == nil || f.state == opening {
 		s, verdict := e.byPacket(now, p)
 		if s == nil && f == nil {
@@ -131,16 +132,18 @@
 			if len(e.flows) >= e.cfg.MaxFlows {
 				return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
 			}
-			f = e.track(now, p.Flow, s, e.kind(p.Flow))
+			f, tracked = e.track(now, p.Flow, s, e.kind(p.Flow)), true
 		} else if s != nil {
 			// The client answers the server whose cookie it returns.
 			e.assign(f, s)
 		}
-		if f.state == opening && f.seenAt != 0 && p.Acknowledges {
-			e.handshake += (float64(now-duration(f.sentAt)) - e.handshake) * handshakeGain
+		elapsed := time.Duration(math.MaxInt64)
+		if f.state == opening && !tracked && p.Acknowledges {
+			elapsed = now - duration(f.sentAt)
+			e.handshake += (float64(elapsed) - e.handshake) * handshakeGain
 		}
 		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
-		e.progress(now, f.server)
+		e.progress(now, f.server, elapsed)
 	}
 	s := f.server
 	actions := e.observe(now, f, p)
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -21,11 +21,16 @@
 	// resetUnreachableAfter and silentProbes are the time without progress on any flow
 	// and the probes without an answer before flows of an unreachable server are reset.
 	// A reset of a working flow is the worst error, so silence must repeat.
-	resetUnreachableAfter = 400 * time.Millisecond
-	silentProbes          = 3
-	// linkProofAge is the age up to which progress at another server shows that the
-	// instance's own link works.
-	linkProofAge = 100 * time.Millisecond
+	resetUnreachableAfter = 300 * time.Millisecond
+	silentProbes          = 4
+	// linkProofAge is the age up to which a quick answer of another server shows that the
+	// instance's own link works; quickAnswer is longer than most requests and shorter
+	// than the queue of a link that is full.
+	linkProofAge = 150 * time.Millisecond
+	quickAnswer  = 100 * time.Millisecond
+	// lastResortProbes is the number of silent probes up to which an unreachable server
+	// still gets new flows if there is no other.
+	lastResortProbes = 2 * silentProbes
 	// probeAgain is the time between attempts to reach a dead server.
 	probeAgain = time.Second
 )
@@ -67,16 +72,19 @@
 	OtherServer // the address belongs to another server
 )
 
-// progress notes a sign of life of the server.
-func (e *Engine) progress(now time.Duration, s *server) {
+// progress notes a sign of life of the server, elapsed after what it answers.
+func (e *Engine) progress(now time.Duration, s *server, elapsed time.Duration) {
 	s.evidence.lastProgress = now
-	if e.lastProgressServer != s {
-		e.lastProgressServer, e.otherProgress = s, e.lastProgress
-	}
-	e.lastProgress = now
 	if s.evidence.state == suspected {
 		s.evidence.state = trusted
 	}
+	if elapsed > quickAnswer {
+		return
+	}
+	if e.quickServer != s {
+		e.quickServer, e.otherQuick = s, e.lastQuick
+	}
+	e.lastQuick = now
 }
 
 // Suspect applies a peer's evidence against a server.
@@ -164,7 +172,7 @@
 	v := &s.evidence
 	if v.state == suspected {
 		v.state, v.nextProbe = unreachable, now
-		return e.reopen(now, s)
+		return append([]Action{{Kind: TellPeers, Target: s.target(), Server: s.Name}}, e.reopen(now, s)...)
 	}
 	if !e.certainlyUnreachable(now, s) {
 		v.nextProbe = now
@@ -178,16 +186,15 @@
 func (e *Engine) certainlyUnreachable(now time.Duration, s *server) bool {
 	v := &s.evidence
 	return v.state == unreachable && v.silent >= silentProbes &&
-		now-v.lastProgress >= resetUnreachableAfter && now-v.since >= resetUnreachableAfter &&
-		now-e.progressElsewhere(s) <= linkProofAge
+		now-v.lastProgress >= resetUnreachableAfter && now-e.quickElsewhere(s) <= linkProofAge
 }
 
-// progressElsewhere returns the time of the last progress at another server.
-func (e *Engine) progressElsewhere(s *server) time.Duration {
-	if e.lastProgressServer == s {
-		return e.otherProgress
+// quickElsewhere returns the time of the last quick answer of another server.
+func (e *Engine) quickElsewhere(s *server) time.Duration {
+	if e.quickServer == s {
+		return e.otherQuick
 	}
-	return e.lastProgress
+	return e.lastQuick
 }
 
 // declareDead moves waiting opening packets to other servers and resets all flows.
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -1,6 +1,9 @@
 package forwarding
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 type flowState uint8
 
@@ -74,7 +77,11 @@
 			f.server.meter.addSample(now - duration(f.sentAt))
 		}
 		f.ack = p.Acknowledgement
-		e.progress(now, f.server)
+		elapsed := time.Duration(math.MaxInt64)
+		if f.waiting {
+			elapsed = now - duration(f.sentAt)
+		}
+		e.progress(now, f.server, elapsed)
 		e.setWaiting(now, f, false)
 	}
 	var actions []Action
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -72,6 +72,12 @@
 	return !s.listed && !s.Draining && !s.shadowed && s.evidence.state == trusted && now-s.removedAt <= entryReturnTime
 }
 
+// usableAsLastResort reports whether the server may take flows although it looks
+// unreachable: the instance's own link may be full.
+func (s *server) usableAsLastResort(time.Duration) bool {
+	return s.listed && !s.Draining && !s.shadowed && s.evidence.state <= unreachable && s.evidence.silent < lastResortProbes
+}
+
 func (e *Engine) service(name string) *service {
 	s := e.services[name]
 	if s == nil {
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -75,7 +75,7 @@
 	e.Msg(actionNames[a.Kind])
 }
 
-var actionNames = [...]string{"flow_reset", "opening_packet_moved", "server_dead", "server_suspected"}
+var actionNames = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected"}
 
 func (l *eventLog) probed(server string, outcome forwarding.ProbeOutcome, stalled bool, took time.Duration, err error) {
 	e := l.line(zerolog.InfoLevel)
