--- a/directory/table.go
+++ b/directory/table.go
@@ -17,11 +17,14 @@
 	Value    []byte
 	Revision uint64
 	Removed  bool
+	// Delta stands in for Value between instances.
+	Delta *Delta
 }
 
 type entry struct {
 	Record
 	removedAt time.Duration
+	previous  Record // the last value before this one, for deltas
 }
 
 // Table is an instance's copy of the records. It is not safe for concurrent use. Times
@@ -40,15 +43,57 @@
 // AsOf returns the revision up to which the table is complete.
 func (t *Table) AsOf() uint64 { return t.asOf }
 
-// Merge applies records and returns those that were news.
-func (t *Table) Merge(now time.Duration, records []Record) []Record {
-	var news []Record
+// Merge applies records and returns those that were news. A delta whose base is not the
+// known value is left out; complete reports whether there was none.
+func (t *Table) Merge(now time.Duration, records []Record) (news []Record, complete bool) {
+	complete = true
 	for _, r := range records {
+		if !t.expand(&r) {
+			complete = false
+			continue
+		}
 		if t.put(now, &r) {
 			news = append(news, r)
 		}
 	}
-	return news
+	return news, complete
+}
+
+// expand replaces a delta by the value that it describes.
+func (t *Table) expand(r *Record) bool {
+	if r.Delta == nil {
+		return true
+	}
+	known := t.entries[r.Key]
+	if known == nil {
+		return false
+	}
+	if known.Revision >= r.Revision {
+		return true // put ignores it
+	}
+	if known.Revision != r.Delta.Base {
+		return false
+	}
+	value, ok := r.Delta.apply(known.Value)
+	r.Value, r.Delta = value, nil
+	return ok
+}
+
+// deltaFrom is the size from which a value is sent as a delta.
+const deltaFrom = 512
+
+// Deltas returns the records with large values replaced by what changed in them.
+func (t *Table) Deltas(records []Record) []Record {
+	out := make([]Record, len(records))
+	for i, r := range records {
+		out[i] = r
+		e := t.entries[r.Key]
+		if e == nil || r.Removed || len(r.Value) < deltaFrom || e.previous.Value == nil || e.Revision != r.Revision {
+			continue
+		}
+		out[i].Value, out[i].Delta = nil, &Delta{Base: e.previous.Revision, Parts: diff(e.previous.Value, r.Value)}
+	}
+	return out
 }
 
 // put applies a record. A removal without a value takes over the last one.
@@ -67,6 +112,10 @@
 			r.Value = known.Value
 		}
 	}
+	known.previous = Record{}
+	if len(known.Value) >= deltaFrom {
+		known.previous = known.Record
+	}
 	known.Record = *r
 	return true
 }
@@ -81,7 +130,7 @@
 	for _, r := range listing {
 		listed[r.Key] = true
 	}
-	news := t.Merge(now, listing)
+	news, _ := t.Merge(now, listing)
 	for _, key := range slices.Sorted(maps.Keys(t.entries)) {
 		e := t.entries[key]
 		if listed[key] || e.Removed || e.Revision >= asOf {
@@ -110,6 +159,21 @@
 	return out
 }
 
+// Latest keeps the last record of each key.
+func Latest(records []Record) []Record {
+	last := make(map[string]int, len(records))
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	out := records[:0]
+	for i, r := range records {
+		if last[r.Key] == i {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Get returns a record that is not removed.
 func (t *Table) Get(key string) (Record, bool) {
 	e := t.entries[key]
--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -48,14 +48,14 @@
 	if local != nil && localBusy < spillUtilization {
 		return local
 	}
-	remote, remoteBusy := e.leastLoaded(now, svc.remote, (*server).usableAt)
+	remote, remoteBusy := e.leastLoaded(now, svc.remote, (*server).usableHead)
 	if remote != nil && (local == nil || remoteBusy < localBusy*spillGain) {
 		return remote
 	}
 	if local != nil {
 		return local
 	}
-	for _, usable := range []func(*server, time.Duration) bool{(*server).usableAfterRemoval, (*server).usableAsLastResort} {
+	for _, usable := range []func(*server, time.Duration) bool{(*server).usableAt, (*server).usableAfterRemoval, (*server).usableAsLastResort} {
 		for _, servers := range [][]*server{svc.local, svc.remote} {
 			if s, _ := e.leastLoaded(now, servers, usable); s != nil {
 				return s
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// usableHead reports whether the server is one that its failure domain offers to others.
+func (s *server) usableHead(now time.Duration) bool { return now < s.headUntil && s.usable() }
+
 func (s *server) usableAt(time.Duration) bool { return s.usable() }
 
 // leastLoaded compares a sample of the servers that pass the filter.
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -101,6 +101,9 @@
 	}
 	f := e.flows[p.Flow]
 	if f != nil && f.state == opening && (f.server.evidence.state <= suspected) {
+		if f.server.evidence.lastProgress < duration(f.sentAt) {
+			f.server.evidence.repeats++
+		}
 		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
 	}
 	actions := e.suspectRefusals(now, p.Flow)
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -23,6 +23,9 @@
 	// A reset of a working flow is the worst error, so silence must repeat.
 	resetUnreachableAfter = 300 * time.Millisecond
 	silentProbes          = 4
+	// resetRepeats is the number of packets that clients sent again without any progress
+	// of the server: an idle server that no probe reaches may still serve.
+	resetRepeats = 2
 	// linkProofAge is the age up to which a quick answer of another server shows that the
 	// instance's own link works; quickAnswer is longer than most requests and shorter
 	// than the queue of a link that is full.
@@ -53,6 +56,7 @@
 	state        evidenceState
 	probing      bool
 	replaced     bool          // a newer record names the server's address
+	repeats      int           // packets that clients sent again since the last progress
 	silent       int           // probes in a row without an answer
 	since        time.Duration // of the suspicion
 	lastProgress time.Duration // last sign of life on any flow
@@ -74,13 +78,17 @@
 
 // progress notes a sign of life of the server, elapsed after what it answers.
 func (e *Engine) progress(now time.Duration, s *server, elapsed time.Duration) {
-	s.evidence.lastProgress = now
+	s.evidence.lastProgress, s.evidence.repeats = now, 0
 	if s.evidence.state == suspected {
 		s.evidence.state = trusted
 	}
-	if elapsed > quickAnswer {
-		return
+	if elapsed <= quickAnswer {
+		e.noteQuick(now, s)
 	}
+}
+
+// noteQuick notes an answer that shows that the instance's own link works.
+func (e *Engine) noteQuick(now time.Duration, s *server) {
 	if e.quickServer != s {
 		e.quickServer, e.otherQuick = s, e.lastQuick
 	}
@@ -141,7 +149,7 @@
 
 // Probed applies the outcome of a probe. stalled says that the process itself did not
 // run for a part of the time, so that silence proves nothing.
-func (e *Engine) Probed(now time.Duration, name string, outcome ProbeOutcome, stalled bool) []Action {
+func (e *Engine) Probed(now time.Duration, name string, outcome ProbeOutcome, elapsed time.Duration, stalled bool) []Action {
 	s := e.servers[name]
 	if s == nil {
 		return nil
@@ -154,12 +162,19 @@
 		if !v.replaced {
 			v.state, v.silent, v.nextSuspect = trusted, 0, now+suspectAgain
 		}
+		if outcome == Answered && elapsed <= quickAnswer {
+			e.noteQuick(now, s)
+		}
 		return nil
 	case Refused, OtherServer:
 		return e.declareDead(now, s)
 	}
 	v.nextProbe = now + probeAgain
-	if stalled || v.state == dead || v.state == trusted {
+	if v.state == dead || v.state == trusted {
+		return nil
+	}
+	if stalled || !e.linkWorks(now, s) {
+		v.nextProbe = now
 		return nil
 	}
 	v.silent++
@@ -185,16 +200,18 @@
 // connection.
 func (e *Engine) certainlyUnreachable(now time.Duration, s *server) bool {
 	v := &s.evidence
-	return v.state == unreachable && v.silent >= silentProbes &&
-		now-v.lastProgress >= resetUnreachableAfter && now-e.quickElsewhere(s) <= linkProofAge
+	return v.state == unreachable && v.silent >= silentProbes && v.repeats >= resetRepeats &&
+		now-v.lastProgress >= resetUnreachableAfter && e.linkWorks(now, s)
 }
 
-// quickElsewhere returns the time of the last quick answer of another server.
-func (e *Engine) quickElsewhere(s *server) time.Duration {
+// linkWorks reports whether another server answered quickly just now. Without that, the
+// silence of a server may be that of the instance's own link.
+func (e *Engine) linkWorks(now time.Duration, s *server) bool {
+	last := e.lastQuick
 	if e.quickServer == s {
-		return e.otherQuick
+		last = e.otherQuick
 	}
-	return e.lastQuick
+	return now-last <= linkProofAge
 }
 
 // declareDead moves waiting opening packets to other servers and resets all flows.
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -1,6 +1,10 @@
 package forwarding
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// peerLoadLifetime is how long a peer's loads count without being stated again.
@@ -79,42 +83,56 @@
 	return time.Duration(s.meter.quantile * meanOverQuantile)
 }
 
-// DomainLoads returns the loads that this instance and the named sources cause together.
-func (e *Engine) DomainLoads(sources []string) []Load {
-	sum := make(map[uint32]Load)
-	add := func(loads []Load) {
-		for _, l := range loads {
-			t := sum[l.Cookie]
-			t.Cookie = l.Cookie
-			t.Rate += l.Rate
-			t.ServiceTime = max(t.ServiceTime, l.ServiceTime)
-			sum[l.Cookie] = t
+// headSize is the number of servers of a service that a failure domain states to others:
+// enough for the flows that spill over, few enough for 12,000 servers.
+const headSize = 4
+
+// DomainHeads returns the least busy servers of each service in the own failure domain,
+// with what all instances of the domain cause there. Other domains spill only to these.
+func (e *Engine) DomainHeads(now time.Duration) []Load {
+	var out []Load
+	for _, svc := range e.services {
+		usable := make([]*server, 0, len(svc.local))
+		for _, s := range svc.local {
+			if s.usable() {
+				usable = append(usable, s)
+			}
+		}
+		slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.utilization(now), b.utilization(now)) })
+		for _, s := range usable[:min(headSize, len(usable))] {
+			m := &s.meter
+			out = append(out, Load{Cookie: s.cookie, Rate: m.rate + m.expected + m.peerRate, ServiceTime: time.Duration(s.requestTime(now))})
 		}
-	}
-	add(e.Loads())
-	for _, source := range sources {
-		add(e.peerLoads[source].loads)
-	}
-	out := make([]Load, 0, len(sum))
-	for _, l := range sum {
-		out = append(out, l)
 	}
 	return out
 }
 
-// SetPeerLoads replaces the loads that a source states.
+// SetDomainHeads replaces the heads that another failure domain states.
+func (e *Engine) SetDomainHeads(now time.Duration, domain string, heads []Load) {
+	e.SetPeerLoads(now, domainSource+domain, heads)
+	for _, l := range heads {
+		for _, s := range e.byCookie[l.Cookie] {
+			s.headUntil = now + peerLoadLifetime
+		}
+	}
+}
+
+// DomainHeadsOf returns the heads that another domain stated, if they still count.
+func (e *Engine) DomainHeadsOf(domain string) ([]Load, bool) {
+	p, ok := e.peerLoads[domainSource+domain]
+	return p.loads, ok
+}
+
+// domainSource marks the heads of a failure domain among the sources of loads.
+const domainSource = "domain:"
+
+// SetPeerLoads replaces the loads that an instance of the own failure domain states.
 func (e *Engine) SetPeerLoads(now time.Duration, source string, loads []Load) {
 	e.addPeerLoads(e.peerLoads[source].loads, -1)
 	e.addPeerLoads(loads, 1)
 	e.peerLoads[source] = peerLoads{loads, now}
 }
 
-// PeerLoads returns the loads that a source stated, if they still count.
-func (e *Engine) PeerLoads(source string) ([]Load, bool) {
-	p, ok := e.peerLoads[source]
-	return p.loads, ok
-}
-
 func (e *Engine) addPeerLoads(loads []Load, sign float64) {
 	for _, l := range loads {
 		for _, s := range e.byCookie[l.Cookie] {
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -50,6 +50,7 @@
 	shadowed  bool // another server has the same cookie and the lower ID
 	removedAt time.Duration
 	coldUntil time.Duration
+	headUntil time.Duration // until when its failure domain's statement counts
 
 	flows       int32 // open flows in the own table
 	meter       meter
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -100,7 +100,7 @@
 	// A timer that fires late means that the process did not run.
 	stalled := outcome == forwarding.Silent && now-started > health.ConnectTimeout+health.ConnectTimeout/2
 	f.mu.Lock()
-	actions := f.engine.Probed(now, a.Server, outcome, stalled)
+	actions := f.engine.Probed(now, a.Server, outcome, now-started, stalled)
 	f.mu.Unlock()
 	f.events.probed(a.Server, outcome, stalled, now-started, err)
 	f.perform(actions)
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -17,8 +17,6 @@
 const (
 	// pullTimeout bounds a pull of records.
 	pullTimeout = time.Second
-	// domainSource marks the loads of a whole failure domain among the sources.
-	domainSource = "domain:"
 )
 
 // peers holds the sockets of the exchange with other instances.
@@ -77,10 +75,12 @@
 	f.mu.Lock()
 	if m.Status != nil {
 		f.mesh.Heard(now, *m.Status)
-		f.engine.SetPeerLoads(now, f.loadSource(m.Status.Peer), m.Loads)
-		for _, d := range m.Foreign {
+		if m.Loads != nil && m.Status.Domain == f.self.Domain {
+			f.engine.SetPeerLoads(now, m.Status.ID, m.Loads)
+		}
+		for _, d := range m.Heads {
 			if d.Domain != f.self.Domain {
-				f.engine.SetPeerLoads(now, domainSource+d.Domain, d.Loads)
+				f.engine.SetDomainHeads(now, d.Domain, d.Loads)
 			}
 		}
 	}
@@ -95,21 +95,12 @@
 	}
 }
 
-// loadSource names the source of a peer's loads: itself in the own failure domain, its
-// whole domain elsewhere.
-func (f *Forwarder) loadSource(p mesh.Peer) string {
-	if p.Domain == f.self.Domain {
-		return p.ID
-	}
-	return domainSource + p.Domain
-}
-
 // mergeRecords applies records that a peer sent. The table is complete up to the
 // message's revision only if it was complete up to its base.
 func (f *Forwarder) mergeRecords(m *exchange.Message) {
 	f.mu.Lock()
-	news := f.table.Merge(f.now(), m.Records)
-	if m.Base <= f.table.AsOf() {
+	news, complete := f.table.Merge(f.now(), m.Records)
+	if complete && m.Base <= f.table.AsOf() {
 		f.table.Advance(m.AsOf)
 	}
 	f.mu.Unlock()
@@ -140,36 +131,36 @@
 	return f.mesh.Self(now, f.incarnation, f.table.AsOf(), f.lifecycle.leaving.Load())
 }
 
-// sendStatus sends the status to the peers of the own failure domain and, as its
-// delegate, the sum of the domain's loads to other domains.
+// sendStatus sends the status and the loads to peers of the own failure domain. The
+// delegate also passes the heads of its own domain to others and theirs to its own.
 func (f *Forwarder) sendStatus() {
 	now := f.now()
 	f.mu.Lock()
 	status := f.status(now)
+	full, bare := f.mesh.DomainPeers(now)
 	m := exchange.Message{Status: &status, Loads: f.engine.Loads()}
-	domain := f.mesh.DomainPeers(now)
+	abroad := exchange.Message{Status: &status}
 	var foreign []netip.AddrPort
-	var sum exchange.Message
 	if f.mesh.Delegate(now) {
-		foreign = f.mesh.ForeignPeers(now)
-		sum = exchange.Message{Status: &status, Loads: f.engine.DomainLoads(f.mesh.DomainIDs())}
-	}
-	for _, d := range f.mesh.ForeignDomains() {
-		if loads, ok := f.engine.PeerLoads(domainSource + d); ok {
-			m.Foreign = append(m.Foreign, exchange.DomainLoads{Domain: d, Loads: loads})
+		for _, d := range f.mesh.ForeignDomains() {
+			if heads, ok := f.engine.DomainHeadsOf(d); ok {
+				m.Heads = append(m.Heads, exchange.DomainHeads{Domain: d, Loads: heads})
+			}
 		}
-	}
-	if !f.mesh.Delegate(now) {
-		m.Foreign = nil // only one instance passes on what it heard, else old news would go round
+		foreign = f.mesh.ForeignPeers(now)
+		abroad.Heads = []exchange.DomainHeads{{Domain: f.self.Domain, Loads: f.engine.DomainHeads(now)}}
 	}
 	f.mu.Unlock()
-	f.sendDatagram(exchange.Append(nil, &m), domain)
-	if len(foreign) > 0 {
-		f.sendDatagram(exchange.Append(nil, &sum), foreign)
-	}
+	f.sendDatagram(&m, full)
+	f.sendDatagram(&exchange.Message{Status: &status}, bare)
+	f.sendDatagram(&abroad, foreign)
 }
 
-func (f *Forwarder) sendDatagram(b []byte, to []netip.AddrPort) {
+func (f *Forwarder) sendDatagram(m *exchange.Message, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	b := exchange.Append(nil, m)
 	for _, a := range to {
 		if _, err := f.peers.datagrams.WriteToUDPAddrPort(b, a); err != nil {
 			f.counters.socketErrors.Inc()
@@ -182,23 +173,23 @@
 	if len(news) == 0 {
 		return
 	}
-	b := exchange.Append(nil, &exchange.Message{Records: news, Base: base, AsOf: asOf})
-	if len(b) > exchange.MaxDatagramBytes {
+	f.mu.Lock()
+	m := exchange.Message{Records: f.table.Deltas(news), Base: base, AsOf: asOf}
+	to := f.mesh.AliveDomainPeers(f.now())
+	f.mu.Unlock()
+	if m.Size() > exchange.MaxDatagramBytes {
 		f.sendStatus() // the peers pull
 		return
 	}
-	f.mu.Lock()
-	to := f.mesh.DomainPeers(f.now())
-	f.mu.Unlock()
-	f.sendDatagram(b, to)
+	f.sendDatagram(&m, to)
 }
 
 // tellSuspect passes evidence against a server to the own failure domain.
 func (f *Forwarder) tellSuspect(cookie uint32) {
 	f.mu.Lock()
-	to := f.mesh.DomainPeers(f.now())
+	to := f.mesh.AliveDomainPeers(f.now())
 	f.mu.Unlock()
-	f.sendDatagram(exchange.Append(nil, &exchange.Message{Suspects: []uint32{cookie}}), to)
+	f.sendDatagram(&exchange.Message{Suspects: []uint32{cookie}}, to)
 }
 
 // pullMissing pulls records from a peer that is ahead.
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -174,6 +174,7 @@
 	if err != nil {
 		return err
 	}
+	changes := directory.Latest(toRecords(events.Events))
 	if len(events.Events) == 0 {
 		f.mu.Lock()
 		f.table.Advance(events.AsOf)
@@ -181,7 +182,7 @@
 		return nil
 	}
 	f.mu.Lock()
-	news := f.table.Merge(f.now(), toRecords(events.Events))
+	news, _ := f.table.Merge(f.now(), changes)
 	f.table.Advance(events.AsOf)
 	f.mu.Unlock()
 	f.push(news, after, events.AsOf)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -16,9 +16,13 @@
 const (
 	// StatusInterval is the time between status messages to a peer.
 	StatusInterval = 250 * time.Millisecond
-	// aliveTime is the silence after which a peer does not count as alive: three
-	// status messages may be lost.
-	aliveTime = 4 * StatusInterval
+	// fullRecipients is how many peers get the loads with each status message, by turns,
+	// so that the traffic of a large failure domain stays below 22 KB a second.
+	fullRecipients = 6
+	// aliveTurns is the number of turns that may be lost before a peer does not count as
+	// alive; minAliveTime is the least silence.
+	aliveTurns   = 3
+	minAliveTime = 4 * StatusInterval
 	// retryInterval is the time between messages to a peer that is not heard.
 	retryInterval = time.Second
 	// forgetTime is the silence after which an instance without a record in the
@@ -30,8 +34,12 @@
 	// takeoverStep is the pause before the next instance in rank takes over a watch
 	// that nobody holds, so that not all start at once.
 	takeoverStep = 150 * time.Millisecond
-	// pullDelay lets a record that was pushed arrive before it is pulled.
+	// pullDelay lets a record that was pushed arrive before it is pulled. Later ranks wait
+	// pullStep longer for each pullWidth instances, and pull from any that is ahead, so
+	// that a large record does not fill the link of the one that read it.
 	pullDelay = 100 * time.Millisecond
+	pullStep  = 100 * time.Millisecond
+	pullWidth = 3
 	// foreignTargets is how many instances of another failure domain a delegate speaks
 	// to, so that the loss of one does not stop the exchange.
 	foreignTargets = 2
@@ -73,13 +81,22 @@
 	behind  time.Duration // since when its records are newer than ours
 }
 
-func (m *member) alive(now time.Duration) bool {
-	return m.heard && now-m.heardAt < aliveTime && !m.status.Leaving
+func (m *member) alive(now, within time.Duration) bool {
+	return m.heard && now-m.heardAt < within && !m.status.Leaving
 }
 
-// watches reports whether the member holds a watch whose records are current.
+// watches reports whether the member holds a watch whose records are current. A watcher
+// speaks to all peers each time, so that its loss is noticed at once.
 func (m *member) watches(now, fresh time.Duration) bool {
-	return m.alive(now) && m.status.Watching && m.status.ContactAge+now-m.heardAt < fresh
+	return m.alive(now, minAliveTime) && m.status.Watching && m.status.ContactAge+now-m.heardAt < fresh
+}
+
+// aliveTime returns the silence after which a peer does not count as alive: the turns of
+// a large failure domain take longer.
+func (m *Mesh) aliveTime() time.Duration {
+	peers := len(m.ranked[m.cfg.Self.Domain]) - 1
+	turns := (peers + fullRecipients - 1) / fullRecipients
+	return max(minAliveTime, time.Duration(turns*aliveTurns)*StatusInterval)
 }
 
 // Mesh is the state of one instance. It is not safe for concurrent use.
@@ -94,6 +111,7 @@
 	vacantAt  time.Duration // since when no better placed instance watches
 	vacant    bool
 	watching  bool
+	turn      int // where the next status message's recipients begin
 }
 
 // New returns a mesh that knows only its own instance.
@@ -218,7 +236,7 @@
 			m.vacant, m.watching = false, false
 			return false
 		}
-		if p.alive(now) {
+		if p.alive(now, m.aliveTime()) {
 			position, someoneFit = position+1, true
 		}
 	}
@@ -230,7 +248,7 @@
 	}
 	wait := time.Duration(position) * takeoverStep
 	if position > 0 {
-		wait += aliveTime // a better placed instance is alive and may be about to watch
+		wait += minAliveTime // a better placed instance is alive and may be about to watch
 	}
 	m.watching = now-m.vacantAt >= wait
 	return m.watching
@@ -240,7 +258,7 @@
 // on: records complete up to its revision are as current as its own.
 func (m *Mesh) Confirmed(now time.Duration, asOf uint64) {
 	for _, p := range m.members {
-		if !p.alive(now) || p.status.AsOf > asOf {
+		if !p.alive(now, m.aliveTime()) || p.status.AsOf > asOf {
 			continue
 		}
 		if at := p.heardAt - p.status.ContactAge; at > m.contactAt || !m.contacted && p.status.ContactAge < noContact {
@@ -259,14 +277,14 @@
 func (m *Mesh) PullFrom(now time.Duration, asOf uint64) (Peer, bool) {
 	var best *member
 	for _, p := range m.members {
-		if !p.alive(now) || p.status.AsOf <= asOf {
+		if !p.alive(now, m.aliveTime()) || p.status.AsOf <= asOf {
 			p.behind = 0
 			continue
 		}
 		if p.behind == 0 {
 			p.behind = now
 		}
-		if asOf > 0 && now-p.behind < pullDelay {
+		if asOf > 0 && now-p.behind < m.pullDelay() {
 			continue
 		}
 		if best == nil || m.prefer(p, best) {
@@ -279,11 +297,26 @@
 	return best.Peer, true
 }
 
+// pullDelay returns the delay of this instance by its place in the failure domain.
+func (m *Mesh) pullDelay() time.Duration {
+	for i, p := range m.ranked[m.cfg.Self.Domain] {
+		if p.ID == m.cfg.Self.ID {
+			return pullDelay + time.Duration(i/pullWidth)*pullStep
+		}
+	}
+	return pullDelay
+}
+
 func (m *Mesh) prefer(a, b *member) bool {
 	if own := m.cfg.Self.Domain; (a.Domain == own) != (b.Domain == own) {
 		return a.Domain == own
 	}
-	return a.status.AsOf > b.status.AsOf || a.status.AsOf == b.status.AsOf && a.ID < b.ID
+	if a.status.AsOf != b.status.AsOf {
+		return a.status.AsOf > b.status.AsOf
+	}
+	// Different instances prefer different peers.
+	key := placement.Key(m.cfg.Self.ID)
+	return key^placement.Key(a.ID) < key^placement.Key(b.ID)
 }
 
 // Delegate reports whether this instance speaks for its failure domain to others.
@@ -292,18 +325,38 @@
 		if p.ID == m.cfg.Self.ID {
 			return true
 		}
-		if p.alive(now) {
+		if p.alive(now, m.aliveTime()) {
 			return false
 		}
 	}
 	return true
 }
 
-// DomainPeers returns the addresses in the own failure domain that a message goes to now.
-func (m *Mesh) DomainPeers(now time.Duration) []netip.AddrPort {
+// DomainPeers returns the addresses in the own failure domain that a message goes to
+// now: some get the whole status by turns, and from a watcher the others a bare one.
+func (m *Mesh) DomainPeers(now time.Duration) (full, bare []netip.AddrPort) {
+	own := m.ranked[m.cfg.Self.Domain]
+	for i := range own {
+		p := own[(m.turn+i)%len(own)]
+		if p.ID == m.cfg.Self.ID {
+			continue
+		}
+		switch {
+		case len(full) < fullRecipients && p.due(now, m.aliveTime()):
+			full = append(full, p.Address)
+		case m.watching && p.alive(now, m.aliveTime()):
+			bare = append(bare, p.Address)
+		}
+	}
+	m.turn = (m.turn + fullRecipients) % len(own)
+	return full, bare
+}
+
+// AliveDomainPeers returns the addresses of the live peers in the own failure domain.
+func (m *Mesh) AliveDomainPeers(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, p := range m.ranked[m.cfg.Self.Domain] {
-		if p.ID != m.cfg.Self.ID && p.due(now) {
+		if p.ID != m.cfg.Self.ID && p.alive(now, m.aliveTime()) {
 			out = append(out, p.Address)
 		}
 	}
@@ -319,12 +372,12 @@
 		}
 		n := 0
 		for _, p := range members {
-			if n < foreignTargets && p.alive(now) {
+			if n < foreignTargets && p.alive(now, m.aliveTime()) {
 				out, n = append(out, p.Address), n+1
 			}
 		}
 		for _, p := range members {
-			if n < foreignTargets && !p.alive(now) && p.due(now) {
+			if n < foreignTargets && !p.alive(now, m.aliveTime()) && p.due(now, m.aliveTime()) {
 				out, n = append(out, p.Address), n+1
 			}
 		}
@@ -332,17 +385,6 @@
 	return out
 }
 
-// DomainIDs returns the IDs of the other instances of the own failure domain.
-func (m *Mesh) DomainIDs() []string {
-	var out []string
-	for _, p := range m.ranked[m.cfg.Self.Domain] {
-		if p.ID != m.cfg.Self.ID {
-			out = append(out, p.ID)
-		}
-	}
-	return out
-}
-
 // ForeignDomains returns the other failure domains.
 func (m *Mesh) ForeignDomains() []string {
 	var out []string
@@ -357,8 +399,8 @@
 
 // due reports whether a message may go to the member now: always while it is alive, at
 // times otherwise.
-func (m *member) due(now time.Duration) bool {
-	if !m.alive(now) && m.sent && now-m.sentAt < retryInterval {
+func (m *member) due(now, within time.Duration) bool {
+	if !m.alive(now, within) && m.sent && now-m.sentAt < retryInterval {
 		return false
 	}
 	m.sentAt, m.sent = now, true
@@ -379,7 +421,7 @@
 func (m *Mesh) Alive(now time.Duration) int {
 	n := 0
 	for _, p := range m.members {
-		if p.alive(now) {
+		if p.alive(now, m.aliveTime()) {
 			n++
 		}
 	}
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -4,8 +4,7 @@
 package exchange
 
 import (
-	"encoding/binary"
-	"io"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -29,17 +28,17 @@
 	MaxPullBytes = 64
 )
 
-// DomainLoads are the loads of another failure domain as its delegate stated them.
-type DomainLoads struct {
+// DomainHeads are the least busy servers of a failure domain as its delegate states them.
+type DomainHeads struct {
 	Domain string
 	Loads  []forwarding.Load
 }
 
 // Message is one message. Only the fields of its kind are set.
 type Message struct {
-	Status  *mesh.Status
-	Loads   []forwarding.Load // of the sender; of its whole domain if it speaks to another one
-	Foreign []DomainLoads     // what the sender heard from other domains
+	Status *mesh.Status
+	Loads  []forwarding.Load // that the sender causes
+	Heads  []DomainHeads
 
 	Records []directory.Record
 	Base    uint64 // Records hold all changes after this revision
@@ -53,7 +52,7 @@
 const (
 	fieldStatus  = 1
 	fieldLoad    = 2
-	fieldForeign = 3
+	fieldHeads   = 3
 	fieldRecord  = 4
 	fieldBase    = 5
 	fieldAsOf    = 6
@@ -69,8 +68,8 @@
 	for i := range m.Loads {
 		b = appendBytes(b, fieldLoad, appendLoad(nil, &m.Loads[i]))
 	}
-	for i := range m.Foreign {
-		b = appendBytes(b, fieldForeign, appendForeign(nil, &m.Foreign[i]))
+	for i := range m.Heads {
+		b = appendBytes(b, fieldHeads, appendHeads(nil, &m.Heads[i]))
 	}
 	for i := range m.Records {
 		b = appendBytes(b, fieldRecord, appendRecord(nil, &m.Records[i]))
@@ -87,6 +86,9 @@
 	return b
 }
 
+// Size returns the size of the encoded message.
+func (m *Message) Size() int { return len(Append(nil, m)) }
+
 func appendBytes(b []byte, field protowire.Number, v []byte) []byte {
 	b = protowire.AppendTag(b, field, protowire.BytesType)
 	return protowire.AppendBytes(b, v)
@@ -126,7 +128,7 @@
 	return protowire.AppendVarint(b, uint64(l.ServiceTime/time.Microsecond))
 }
 
-func appendForeign(b []byte, f *DomainLoads) []byte {
+func appendHeads(b []byte, f *DomainHeads) []byte {
 	b = appendBytes(b, 1, []byte(f.Domain))
 	for i := range f.Loads {
 		b = appendBytes(b, 2, appendLoad(nil, &f.Loads[i]))
@@ -140,7 +142,24 @@
 		b = appendBytes(b, 2, r.Value)
 	}
 	b = appendUint(b, 3, r.Revision)
-	return appendBool(b, 4, r.Removed)
+	b = appendBool(b, 4, r.Removed)
+	if r.Delta == nil {
+		return b
+	}
+	b = appendUint(b, 5, r.Delta.Base)
+	for i := range r.Delta.Parts {
+		b = appendBytes(b, 6, appendPart(nil, &r.Delta.Parts[i]))
+	}
+	return b
+}
+
+func appendPart(b []byte, p *directory.Part) []byte {
+	b = appendUint(b, 1, uint64(p.Offset))
+	b = appendUint(b, 2, uint64(p.Length))
+	if len(p.Insert) > 0 {
+		b = appendBytes(b, 3, p.Insert)
+	}
+	return b
 }
 
 // Decode reads a message. It fails with code 506; fields that it does not know are
@@ -154,8 +173,8 @@
 			return decodeStatus(bytes, m.Status)
 		case fieldLoad:
 			return decodeLoad(bytes, &m.Loads)
-		case fieldForeign:
-			return decodeForeign(bytes, &m.Foreign)
+		case fieldHeads:
+			return decodeHeads(bytes, &m.Heads)
 		case fieldRecord:
 			return decodeRecord(bytes, &m.Records)
 		case fieldBase:
@@ -269,8 +288,8 @@
 	return nil
 }
 
-func decodeForeign(b []byte, out *[]DomainLoads) error {
-	var f DomainLoads
+func decodeHeads(b []byte, out *[]DomainHeads) error {
+	var f DomainHeads
 	err := fields(b, func(field protowire.Number, bytes []byte, _ uint64) error {
 		switch field {
 		case 1:
@@ -296,6 +315,13 @@
 			r.Revision = number
 		case 4:
 			r.Removed = number != 0
+		case 5:
+			r.Delta = &directory.Delta{Base: number}
+		case 6:
+			if r.Delta == nil {
+				return errors.New("part of a delta without its base")
+			}
+			return decodePart(bytes, &r.Delta.Parts)
 		}
 		return nil
 	})
@@ -303,30 +329,19 @@
 	return err
 }
 
-// frameHeaderBytes is the size of a frame's length.
-const frameHeaderBytes = 4
-
-// WriteFrame writes a message with its length.
-func WriteFrame(w io.Writer, m *Message) error {
-	b := Append(make([]byte, frameHeaderBytes), m)
-	binary.BigEndian.PutUint32(b, uint32(len(b)-frameHeaderBytes))
-	_, err := w.Write(b)
+func decodePart(b []byte, out *[]directory.Part) error {
+	var p directory.Part
+	err := fields(b, func(field protowire.Number, bytes []byte, number uint64) error {
+		switch field {
+		case 1:
+			p.Offset = int(min(number, MaxFrameBytes))
+		case 2:
+			p.Length = int(min(number, MaxFrameBytes))
+		case 3:
+			p.Insert = append([]byte{}, bytes...)
+		}
+		return nil
+	})
+	*out = append(*out, p)
 	return err
 }
-
-// ReadFrame reads a message of at most limit bytes.
-func ReadFrame(r io.Reader, limit uint32) (*Message, error) {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
-	}
-	n := binary.BigEndian.Uint32(header[:])
-	if n > limit {
-		return nil, result.Errorf(result.PeerProtocol, "frame of %d bytes, at most %d", n, limit)
-	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, err
-	}
-	return Decode(b)
-}
