--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -101,7 +101,7 @@
 	}
 	f := e.flows[p.Flow]
 	if f != nil && f.state == opening && (f.server.evidence.state <= suspected) {
-		if f.server.evidence.lastProgress <= duration(f.sentAt) {
+		if !f.server.progressedAfter(f.sentAt) {
 			f.server.evidence.repeats++
 		}
 		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
@@ -223,8 +223,7 @@
 			continue
 		}
 		kept = append(kept, p)
-		sent := duration(f.sentAt)
-		if now-sent >= e.openSuspectAfter() && f.server.evidence.lastProgress <= sent {
+		if now-duration(f.sentAt) >= e.openSuspectAfter() && !f.server.progressedAfter(f.sentAt) {
 			actions = append(actions, e.suspect(now, f.server)...)
 		}
 	}
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -105,6 +105,11 @@
 	e.lastQuick = now
 }
 
+// progressedAfter reports a sign of life after a time in milliseconds. One in the same
+// millisecond does not count: a request often comes with the acknowledgement of what
+// was before it.
+func (s *server) progressedAfter(ms uint32) bool { return millis(s.evidence.lastProgress) > ms }
+
 // Suspect applies a peer's evidence against a server.
 func (e *Engine) Suspect(now time.Duration, cookie uint32) []Action {
 	var actions []Action
@@ -124,7 +129,7 @@
 		if p.key != f.key || f.state != opening || f.key == k || f.key.Client != k.Client || f.key.Service != k.Service {
 			continue
 		}
-		if now-p.at >= time.Duration(e.handshake/2) && f.server.evidence.lastProgress <= p.at {
+		if now-p.at >= time.Duration(e.handshake/2) && !f.server.progressedAfter(millis(p.at)) {
 			actions = append(actions, e.suspect(now, f.server)...)
 		}
 	}
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	// Data that is sent again has had no answer.
-	if f.waiting && f.server.evidence.lastProgress <= duration(f.sentAt) {
+	if f.waiting && !f.server.progressedAfter(f.sentAt) {
 		f.server.evidence.repeats++
 		return e.suspect(now, f.server)
 	}
