Export metrics, notice standstill and settings that change without a signal

Cause: an instance that was suspended counted its records as current, and a changed settings file was read only on SIGHUP.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -125,6 +124,7 @@
 func (e *Engine) continueFlow(now time.Duration, p Packet) (Decision, []Action) {
 	f := e.flows[p.Flow]
 	reason, tracked := ByFlow, false
+	var handshake time.Duration
 	if f == nil || f.state == opening {
 		s, verdict := e.byPacket(now, p)
 		if s == nil && f == nil {
@@ -140,22 +140,23 @@
 			// The client answers the server whose cookie it returns.
 			e.assign(f, s)
 		}
-		elapsed := time.Duration(math.MaxInt64)
+		elapsed := unknownTime
 		if f.state == opening && !tracked && p.Acknowledges {
-			elapsed = now - duration(f.sentAt)
+			handshake = now - duration(f.sentAt)
+			elapsed = handshake
 			e.handshake += (float64(elapsed) - e.handshake) * handshakeGain
 		}
 		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
 		e.progress(now, f.server, elapsed)
 	}
-	s := f.server
-	actions := e.observe(now, f, p)
+	d := Decision{Verdict: Forward, Reason: reason, Target: f.server.target(), Handshake: handshake}
+	var actions []Action
+	d.Response, actions = e.observe(now, f, p)
 	if e.resettable(now, f) {
-		d := Decision{Verdict: ResetFlow, Reason: ServerDead, Target: s.target()}
+		d.Verdict, d.Reason = ResetFlow, ServerDead
 		e.drop(f)
-		return d, actions
 	}
-	return Decision{Verdict: Forward, Reason: reason, Target: s.target()}, actions
+	return d, actions
 }
 
 // byPacket returns the server that the packet's cookie names, if a version of the
@@ -231,3 +232,24 @@
 	e.pending = kept
 	return actions
 }
+
+// Stats are figures for metrics.
+type Stats struct {
+	Flows, Waiting, Listed, Usable int
+	Version                        uint64
+}
+
+// Stats returns the present figures.
+func (e *Engine) Stats() Stats {
+	out := Stats{Flows: len(e.flows), Version: e.version}
+	for _, s := range e.servers {
+		out.Waiting += int(s.waiting)
+		if s.listed {
+			out.Listed++
+		}
+		if s.usable() {
+			out.Usable++
+		}
+	}
+	return out
+}
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -69,22 +69,26 @@
 // acknowledges a single packet later, which would count as response time.
 const immediateAck = 1201
 
-// observe takes evidence and samples from a packet of an open flow.
-func (e *Engine) observe(now time.Duration, f *flow, p Packet) []Action {
+// unknownTime stands for the time of an answer to something that was not seen.
+const unknownTime = time.Duration(math.MaxInt64)
+
+// observe takes evidence and samples from a packet of an open flow. It returns the
+// response time of the request that the packet acknowledges, or 0.
+func (e *Engine) observe(now time.Duration, f *flow, p Packet) (response time.Duration, actions []Action) {
 	f.seenAt = millis(now)
 	if p.Acknowledges && after(p.Acknowledgement, f.ack) {
 		if f.waiting && p.Length == 0 && p.Acknowledgement-f.ack >= immediateAck {
 			f.server.meter.addSample(now - duration(f.sentAt))
 		}
 		f.ack = p.Acknowledgement
-		elapsed := time.Duration(math.MaxInt64)
+		elapsed := unknownTime
 		if f.waiting {
-			elapsed = now - duration(f.sentAt)
+			response = now - duration(f.sentAt)
+			elapsed = response
 		}
 		e.progress(now, f.server, elapsed)
 		e.setWaiting(now, f, false)
 	}
-	var actions []Action
 	if p.Length > 0 {
 		actions = e.observeData(now, f, p)
 	}
@@ -93,7 +97,7 @@
 		f.state = closing
 		f.server.flows--
 	}
-	return actions
+	return response, actions
 }
 
 func (e *Engine) observeData(now time.Duration, f *flow, p Packet) []Action {
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // FlowKey identifies a flow by the client's end and the address of the service.
@@ -68,10 +69,12 @@
 	ServerDead                  // the flow's server is proven dead
 	NotServing                  // the instance has no configuration yet
 	OtherService                // the cookie names a server of a service that the route never had
-	numReasons
+
+	// NumReasons is the number of reasons.
+	NumReasons
 )
 
-var reasonNames = [numReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service"}
+var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -84,9 +87,11 @@
 
 // Decision is the outcome for one packet.
 type Decision struct {
-	Verdict Verdict
-	Reason  Reason
-	Target  Target
+	Verdict   Verdict
+	Reason    Reason
+	Target    Target
+	Handshake time.Duration // of the flow that the packet opens; else 0
+	Response  time.Duration // of the request whose answer the packet acknowledges; else 0
 }
 
 // ActionKind says what the owner of the engine has to do.
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
@@ -92,11 +91,3 @@
 		e.Stringer(logging.Caller, from).Uint16(logging.Code, errorCode(err)).Err(err).Msg("packet_malformed")
 	}
 }
-
-// counters are the metrics of the data path.
-type counters struct {
-	malformed, socketErrors, proactiveResets, probes metrics.Counter
-	verdicts                                         [3]metrics.Counter
-}
-
-func (c *counters) decision(d forwarding.Decision) { c.verdicts[d.Verdict].Inc() }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -33,13 +33,13 @@
 	settings   atomic.Pointer[Settings]
 	reload     func() (Settings, error)
 	log        zerolog.Logger
-	start      time.Time
+	clock      clock
 	packets    *net.UDPConn
 	clientPort uint16
 	store      *kv.Client
 	lifecycle  *lifecycle
 	events     *eventLog
-	counters   counters
+	counters   *counters
 	packetAt   atomic.Int64 // time of the last packet, in nanoseconds since start
 	caughtUp   atomic.Bool  // the first records are current
 
@@ -76,7 +76,7 @@
 		mesh:        mesh.New(mesh.Config{Self: self, FreshTime: freshTime}),
 		reload:      reload,
 		log:         log,
-		start:       time.Now(),
+		clock:       clock{start: time.Now()},
 		packets:     conn,
 		clientPort:  address.Port(),
 		store:       kv.New(s.StoreAddress, storeTimeout),
@@ -91,11 +91,12 @@
 	}
 	f.settings.Store(&s)
 	f.lifecycle = newLifecycle(log)
+	f.counters = newCounters(f)
 	return f, nil
 }
 
 // now returns the time that the decisions use.
-func (f *Forwarder) now() time.Duration { return time.Since(f.start) }
+func (f *Forwarder) now() time.Duration { return f.clock.now() }
 
 func (f *Forwarder) lastPacket() time.Duration { return time.Duration(f.packetAt.Load()) }
 
@@ -115,6 +116,8 @@
 	go f.followStore(work)
 	go f.speak(work)
 	go f.register(work)
+	go f.watchClock(work)
+	go f.pollSettings(work)
 	go f.tick(work)
 	served := make(chan error, 1)
 	go func() { served <- f.servePackets() }()
--- a/internal/forwarder/lifecycle.go
+++ b/internal/forwarder/lifecycle.go
@@ -66,6 +66,10 @@
 	}
 }
 
+// settingsInterval is the time between looks at the settings, which may change without
+// a signal.
+const settingsInterval = 10 * time.Second
+
 // reloadOnSignal applies the settings that may change while the process runs.
 func (f *Forwarder) reloadOnSignal(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
@@ -76,14 +80,29 @@
 		case <-ctx.Done():
 			return
 		case <-hangups:
+			f.applySettings()
 		}
-		s, err := f.reload()
-		if err != nil {
-			f.log.Error().Uint16(logging.Code, errorCode(err)).Err(err).Msg("settings_rejected")
-			continue
-		}
-		f.settings.Store(&s)
-		f.log.Info().Msg("settings_reloaded")
+	}
+}
+
+// pollSettings looks at the settings from time to time.
+func (f *Forwarder) pollSettings(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, settingsInterval)
+		f.applySettings()
+	}
+}
+
+// applySettings takes over changed settings. Rejected ones leave those in force. The
+// addresses that the process listens at change only with a restart.
+func (f *Forwarder) applySettings() {
+	s, err := f.reload()
+	if err != nil {
+		f.log.Error().Uint16(logging.Code, errorCode(err)).Err(err).Msg("settings_rejected")
+		return
+	}
+	if old := f.settings.Swap(&s); *old != s {
+		f.log.Info().Msg("settings_changed")
 	}
 }
 
@@ -99,8 +118,17 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /metrics", f.writeMetrics)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 4096}
 	go server.Serve(listener)
+	if address := f.settings.Load().MetricsAddress; address != "" {
+		metricsListener, err := net.Listen("tcp4", address)
+		if err != nil {
+			server.Close()
+			return nil, result.Errorf(result.SettingsInvalid, "--metrics-address: %w", err)
+		}
+		go server.Serve(metricsListener)
+	}
 	return server, nil
 }
 
--- /dev/null
+++ b/internal/forwarder/metrics.go
@@ -0,0 +1,83 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/monsoonthread/monsoonthread/forwarding"
+)
+
+// counters are the metrics of one instance.
+type counters struct {
+	set                                                       *metrics.Set
+	malformed, socketErrors, proactiveResets, moved, tellings *metrics.Counter
+	decisions                                                 [3][forwarding.NumReasons]*metrics.Counter
+	probes                                                    [len(outcomeNames)]*metrics.Counter
+	handshakes, responses                                     *metrics.Histogram
+}
+
+func newCounters(f *Forwarder) *counters {
+	set := metrics.NewSet()
+	c := &counters{
+		set:             set,
+		malformed:       set.NewCounter("forwarder_packets_malformed_total"),
+		socketErrors:    set.NewCounter("forwarder_socket_errors_total"),
+		proactiveResets: set.NewCounter("forwarder_flows_reset_total"),
+		moved:           set.NewCounter("forwarder_opening_packets_moved_total"),
+		tellings:        set.NewCounter("forwarder_suspicions_told_total"),
+		handshakes:      set.NewHistogram("forwarder_handshake_seconds"),
+		responses:       set.NewHistogram("forwarder_response_seconds"),
+	}
+	for v := range c.decisions {
+		for r := range c.decisions[v] {
+			c.decisions[v][r] = set.NewCounter(fmt.Sprintf("forwarder_packets_total{verdict=%q,reason=%q}", verdictLabels[v], forwarding.Reason(r)))
+		}
+	}
+	for o := range c.probes {
+		c.probes[o] = set.NewCounter(fmt.Sprintf("forwarder_probes_total{outcome=%q}", outcomeNames[o]))
+	}
+	gauge := func(name string, value func(forwarding.Stats) float64) {
+		set.NewGauge(name, func() float64 {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return value(f.engine.Stats())
+		})
+	}
+	gauge("forwarder_flows", func(s forwarding.Stats) float64 { return float64(s.Flows) })
+	gauge("forwarder_requests_under_way", func(s forwarding.Stats) float64 { return float64(s.Waiting) })
+	gauge("forwarder_configuration_version", func(s forwarding.Stats) float64 { return float64(s.Version) })
+	gauge("forwarder_servers{state=\"usable\"}", func(s forwarding.Stats) float64 { return float64(s.Usable) })
+	gauge("forwarder_servers{state=\"listed\"}", func(s forwarding.Stats) float64 { return float64(s.Listed) })
+	set.NewGauge("forwarder_records_revision", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return float64(f.table.AsOf())
+	})
+	set.NewGauge("forwarder_peers_alive", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return float64(f.mesh.Alive(f.now()))
+	})
+	set.NewGauge("forwarder_store_calls", func() float64 { calls, _ := f.store.Calls(); return float64(calls) })
+	set.NewGauge("forwarder_store_calls_failed", func() float64 { _, failed := f.store.Calls(); return float64(failed) })
+	return c
+}
+
+var verdictLabels = [...]string{"drop", "forward", "reset"}
+
+func (c *counters) decision(d forwarding.Decision) {
+	c.decisions[d.Verdict][d.Reason].Inc()
+	if d.Handshake > 0 {
+		c.handshakes.Update(d.Handshake.Seconds())
+	}
+	if d.Response > 0 {
+		c.responses.Update(d.Response.Seconds())
+	}
+}
+
+// writeMetrics answers in the text format of Prometheus.
+func (f *Forwarder) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	f.counters.set.WritePrometheus(w)
+}
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -81,9 +81,11 @@
 			f.counters.proactiveResets.Inc()
 			f.reset(a.Flow, a.Sequence)
 		case forwarding.SendPacket:
+			f.counters.moved.Inc()
 			b := make([]byte, wire.EnvelopeBytes, wire.EnvelopeBytes+len(a.Packet))
 			f.send(append(b, a.Packet...), a.Target)
 		case forwarding.TellPeers:
+			f.counters.tellings.Inc()
 			f.tellSuspect(a.Target.Cookie)
 		case forwarding.Probe:
 			go f.probe(a)
@@ -93,9 +95,9 @@
 
 // probe asks for the server at its address and reports the outcome.
 func (f *Forwarder) probe(a forwarding.Action) {
-	f.counters.probes.Inc()
 	started := f.now()
 	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
+	f.counters.probes[outcome].Inc()
 	now := f.now()
 	// A timer that fires late means that the process did not run.
 	stalled := outcome == forwarding.Silent && now-started > health.ConnectTimeout+health.ConnectTimeout/2
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -23,6 +23,7 @@
 	FailureDomain      string
 	DatagramAddress    string
 	ReadyAddress       string
+	MetricsAddress     string
 	PeerAddress        string
 	Seeds              string
 	StoreAddress       string
@@ -40,6 +41,7 @@
 	f.StringVar(&s.FailureDomain, "failure-domain", "", "failure domain of this entry instance")
 	f.StringVar(&s.DatagramAddress, "datagram-address", "", "ip:port for packets of clients; resets go to the clients' address at this port")
 	f.StringVar(&s.ReadyAddress, "ready-address", "", "ip:port for HTTP readiness and metrics")
+	f.StringVar(&s.MetricsAddress, "metrics-address", "", "second ip:port for HTTP metrics; empty for none")
 	f.StringVar(&s.PeerAddress, "peer-address", "", "ip:port for messages between instances, over UDP and TCP; all instances use this port")
 	f.StringVar(&s.Seeds, "seeds", "", "comma-separated ip:port of instances that may know the others; the port is replaced by that of --peer-address")
 	f.StringVar(&s.StoreAddress, "store-address", "", "ip:port of the platform's store")
@@ -100,6 +102,9 @@
 			bad(a.name, "%q must be IPv4:port with a port from 1 to 65535", a.value)
 		}
 	}
+	if _, err := netip.ParseAddrPort(s.MetricsAddress); s.MetricsAddress != "" && err != nil {
+		bad("metrics-address", "%q must be empty or ip:port", s.MetricsAddress)
+	}
 	if _, err := s.SeedAddresses(); err != nil {
 		bad("seeds", "%v", err)
 	}
