--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -25,6 +25,9 @@
 	// storeTimeout bounds a call beyond the time that a watch waits. The store answers
 	// in 4 ms, and in 240 ms when it is slow.
 	storeTimeout = 800 * time.Millisecond
+	// maxProbes bounds the connections of probes at a time, below the descriptors that a
+	// small machine gives.
+	maxProbes = 256
 )
 
 // Forwarder is one entry instance. mu guards engine, table and mesh; it is the only lock and
@@ -45,6 +48,8 @@
 
 	self        mesh.Peer
 	incarnation uint64
+	timing      timing
+	probeSlots  chan struct{}
 	peers       *peers
 
 	mu     sync.Mutex
@@ -73,7 +78,9 @@
 		self:        self,
 		incarnation: uint64(time.Now().UnixNano()),
 		peers:       peerSockets,
-		mesh:        mesh.New(mesh.Config{Self: self, FreshTime: freshTime}),
+		timing:      newTiming(&s),
+		probeSlots:  make(chan struct{}, maxProbes),
+		mesh:        mesh.New(mesh.Config{Self: self, FreshTime: newTiming(&s).freshTime}),
 		reload:      reload,
 		log:         log,
 		clock:       clock{start: time.Now()},
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -89,7 +89,7 @@
 	s := Settings{
 		InstanceID: name, FailureDomain: domain, DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
 		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, MaxFlowLifetime: time.Minute,
-		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second,
+		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, LogLevel: "info",
 	}
 	if err := s.Check(); err != nil {
 		d.t.Fatal(err)
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -96,6 +96,16 @@
 // probe asks for the server at its address and reports the outcome.
 func (f *Forwarder) probe(a forwarding.Action) {
 	started := f.now()
+	select {
+	case f.probeSlots <- struct{}{}:
+		defer func() { <-f.probeSlots }()
+	default:
+		// Without a free slot the probe counts as one that was held up.
+		f.mu.Lock()
+		f.engine.Probed(started, a.Server, forwarding.Silent, 0, true)
+		f.mu.Unlock()
+		return
+	}
 	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
 	f.counters.probes[outcome].Inc()
 	now := f.now()
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/spf13/pflag"
 
+	"github.com/monsoonthread/monsoonthread/internal/settings"
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
@@ -108,6 +110,9 @@
 	if _, err := s.SeedAddresses(); err != nil {
 		bad("seeds", "%v", err)
 	}
+	if !slices.Contains(settings.LogLevels, s.LogLevel) {
+		bad("log-level", "%q must be one of %s", s.LogLevel, strings.Join(settings.LogLevels, ", "))
+	}
 	if s.MemoryMB < 16 || s.MemoryMB > 1<<20 {
 		bad("memory-mb", "%d must be from 16 to %d", s.MemoryMB, 1<<20)
 	}
--- a/internal/forwarder/settings_test.go
+++ b/internal/forwarder/settings_test.go
@@ -114,3 +114,15 @@
 		}
 	})
 }
+
+// Guards against a watch that waits longer than a change may take: a silent watch, its
+// time limit and the takeover must fit into the bound.
+func TestTimingFollowsTheBounds(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, time.Minute} {
+		s := Settings{ConfigurationBound: time.Minute, DrainBound: bound}
+		got := newTiming(&s)
+		if got.watchWait > bound/2 || got.watchWait > maxWatchWait || got.batchPause > bound/10 || got.freshTime <= got.watchWait {
+			t.Errorf("bound %v: %+v", bound, got)
+		}
+	}
+}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -14,19 +14,10 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. It also bounds the time until a
-	// connection that has gone silent is noticed.
-	watchWait = 1500 * time.Millisecond
-	// batchPause collects changes that follow each other, so that a storm of changes
-	// costs few calls. It is a tenth of the shortest bound on a change.
-	batchPause = 300 * time.Millisecond
 	// retryPause follows a failed call.
 	retryPause = 250 * time.Millisecond
 	// dutyInterval is the time between checks whether this instance has to watch.
 	dutyInterval = 50 * time.Millisecond
-	// freshTime is the age up to which records count as current: a watch, the pause
-	// after it and the interval of status messages.
-	freshTime = watchWait + batchPause + 2*mesh.StatusInterval + 100*time.Millisecond
 	// seedPatience is how long a start waits for its seeds before it reads the store: a
 	// connection within a region and an answer take a few milliseconds.
 	seedPatience = 30 * time.Millisecond
@@ -35,6 +26,31 @@
 	everything = ""
 )
 
+const (
+	// maxWatchWait and maxBatchPause apply where the bounds on a change leave time.
+	maxWatchWait  = 1500 * time.Millisecond
+	maxBatchPause = 300 * time.Millisecond
+	// watchShare and batchShare are the parts of the shortest bound that a watch and the
+	// pause after it may take: a watch that has gone silent, its time limit and the
+	// takeover by another instance have to fit in.
+	watchShare = 2
+	batchShare = 10
+)
+
+// timing holds the times that follow from the bounds on changes.
+type timing struct {
+	watchWait  time.Duration // how long a watch waits for a change; also notices a silent connection
+	batchPause time.Duration // collects changes that follow each other, so that a storm costs few calls
+	freshTime  time.Duration // age up to which records count as current
+}
+
+func newTiming(s *Settings) timing {
+	bound := min(s.ConfigurationBound, s.DrainBound)
+	t := timing{watchWait: min(bound/watchShare, maxWatchWait), batchPause: min(bound/batchShare, maxBatchPause)}
+	t.freshTime = t.watchWait + t.batchPause + 2*mesh.StatusInterval + 100*time.Millisecond
+	return t
+}
+
 // followStore keeps the records current: from the store while this instance watches it,
 // else from the peers.
 func (f *Forwarder) followStore(ctx context.Context) {
@@ -170,7 +186,7 @@
 	f.mu.Lock()
 	after := f.table.AsOf()
 	f.mu.Unlock()
-	events, err := f.store.Watch(ctx, everything, after, watchWait)
+	events, err := f.store.Watch(ctx, everything, after, f.timing.watchWait)
 	if err != nil {
 		return err
 	}
@@ -183,7 +199,7 @@
 	}
 	f.push(u)
 	f.apply(news)
-	sleep(ctx, batchPause)
+	sleep(ctx, f.timing.batchPause)
 	return nil
 }
 
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/monsoonthread/monsoonthread/internal/ctl"
+	"github.com/monsoonthread/monsoonthread/internal/forwarder"
 	"github.com/monsoonthread/monsoonthread/internal/settings"
 )
 
@@ -63,6 +64,25 @@
 	"dispatch-policy":           {"", policyNames, strings.Split(policyNames, ", "), []string{"", "least-connections"}},
 }
 
+// forwarderLimits is keyed like daemonLimits; its keys start with the program's name
+// where the page has one.
+var forwarderLimits = map[string]limits{
+	"forwarder instance-id":         {"", "not empty; required", []string{"front-laval-1"}, []string{""}},
+	"forwarder failure-domain":      {"", "not empty; required", []string{"laval"}, []string{""}},
+	"forwarder datagram-address":    {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "[::1]:1", "127.0.0.1:0"}},
+	"forwarder ready-address":       {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "localhost:1"}},
+	"forwarder metrics-address":     {"", "IP address and port, or empty", []string{"", "127.0.0.1:9464"}, []string{"localhost:1"}},
+	"forwarder peer-address":        {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "127.0.0.1"}},
+	"forwarder seeds":               {"", "IP addresses and ports, separated by commas, or empty", []string{"", "127.0.0.2:1,127.0.0.3:1"}, []string{"somewhere"}},
+	"forwarder store-address":       {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "http://127.0.0.1:1"}},
+	"forwarder memory-mb":           {"MB", "16 to 1048576", []string{"16", "1048576"}, []string{"15", "1048577"}},
+	"forwarder max-flow-lifetime":   {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder grace-period":        {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder configuration-bound": {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder drain-bound":         {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder log-level":           {"", levelNames, strings.Split(levelNames, ", "), []string{"", "trace"}},
+}
+
 // ctlLimits is keyed by command and flag; the flags of all commands have no command.
 var ctlLimits = map[string]limits{
 	" call-timeout":                {unit: "duration", allowed: "above 0s"},
@@ -99,6 +119,16 @@
 
 `
 
+const forwarderHead = `
+## monsoonthread-forwarder
+
+A setting can also stand in a settings file (` + "`--settings-file`" + `) as a line ` + "`flag=value`" + `; the
+environment outranks the file. Unknown lines are skipped. Every mistake is reported and the exit
+code is 2. The file is read again on SIGHUP and every 10 s; rejected settings leave those in force,
+and the addresses change only with a restart.
+
+`
+
 const ctlHead = `
 ## monsoonctl
 
@@ -139,6 +169,19 @@
 			}
 		}
 	}
+	for name, l := range forwarderLimits {
+		flag := strings.TrimPrefix(name, "forwarder ")
+		for _, v := range l.accepted {
+			if err := checkForwarder(flag, v); err != nil {
+				t.Errorf("forwarder --%s %q is refused: %v", flag, v, err)
+			}
+		}
+		for _, v := range l.refuse {
+			if checkForwarder(flag, v) == nil {
+				t.Errorf("forwarder --%s %q is accepted", flag, v)
+			}
+		}
+	}
 	if got := strings.Join(settings.Policies, ", "); got != policyNames {
 		t.Errorf("policies: %s", got)
 	}
@@ -163,6 +206,21 @@
 	return s.Check()
 }
 
+// checkForwarder is check for the forwarder.
+func checkForwarder(name, value string) error {
+	var s forwarder.Settings
+	f := pflag.NewFlagSet("", pflag.ContinueOnError)
+	s.AddFlags(f)
+	args := []string{
+		"--instance-id=front-1", "--failure-domain=laval", "--datagram-address=127.0.0.1:1", "--ready-address=127.0.0.1:2",
+		"--peer-address=127.0.0.1:3", "--store-address=127.0.0.1:4", "--" + name + "=" + value,
+	}
+	if err := f.Parse(args); err != nil {
+		return err
+	}
+	return s.Check()
+}
+
 func page(t *testing.T) []byte {
 	var b bytes.Buffer
 	b.WriteString(pageHead)
@@ -174,6 +232,14 @@
 		unused[name] = true
 	}
 	writeTable(t, &b, f, "", daemonLimits, unused)
+	for name := range forwarderLimits {
+		unused[name] = true
+	}
+	b.WriteString(forwarderHead)
+	var fs forwarder.Settings
+	ff := pflag.NewFlagSet("", pflag.ContinueOnError)
+	fs.AddFlags(ff)
+	writeTable(t, &b, ff, "forwarder ", forwarderLimits, unused)
 	for name := range ctlLimits {
 		unused[name] = true
 	}
--- a/internal/standin/flows/client.go
+++ b/internal/standin/flows/client.go
@@ -10,7 +10,8 @@
 
 // Errors of a flow.
 var (
-	ErrReset   = errors.New("the flow was reset")
+	ErrReset   = errors.New("the flow was reset by the system")
+	ErrEnded   = errors.New("the flow was reset by its server")
 	ErrTimeout = errors.New("no answer in time")
 )
 
@@ -67,7 +68,10 @@
 		f := c.flows[p.Destination.Port()]
 		c.mu.Unlock()
 		if f != nil {
-			f.received <- p
+			select {
+			case f.received <- p:
+			default: // like a datagram that is not read in time
+			}
 		}
 	}
 }
@@ -75,7 +79,9 @@
 // Open opens a flow to a service through an entry instance.
 func (c *Client) Open(service, via netip.AddrPort, timeout time.Duration) (*Flow, error) {
 	c.mu.Lock()
-	c.next++
+	if c.next++; c.next == 0 {
+		c.next = 1024
+	}
 	f := &Flow{client: c, local: netip.AddrPortFrom(c.ip, c.next), service: service, received: make(chan Packet, 64), sequence: 100}
 	c.flows[c.next] = f
 	c.mu.Unlock()
@@ -112,7 +118,7 @@
 		select {
 		case p := <-f.received:
 			if p.Flags&RST != 0 {
-				return ErrReset
+				return p.resetError()
 			}
 		case <-deadline:
 			return ErrTimeout
@@ -130,7 +136,7 @@
 		select {
 		case got := <-f.received:
 			if got.Flags&RST != 0 {
-				return got, ErrReset
+				return got, got.resetError()
 			}
 			if done(got) {
 				return got, nil
@@ -143,6 +149,22 @@
 	}
 }
 
+// resetError tells a reset of the system, which knows no sum, from one of a server.
+func (p *Packet) resetError() error {
+	if p.Genuine {
+		return ErrEnded
+	}
+	return ErrReset
+}
+
+// Close sends the end of the flow and forgets it.
+func (f *Flow) Close(via netip.AddrPort) {
+	f.send(via, Packet{Flags: FIN | ACK, Sequence: f.sequence, Ack: f.ack})
+	f.client.mu.Lock()
+	delete(f.client.flows, f.local.Port())
+	f.client.mu.Unlock()
+}
+
 func (f *Flow) send(via netip.AddrPort, p Packet) {
 	p.Source, p.Destination = f.local, f.service
 	if p.Flags&SYN == 0 {
--- a/internal/standin/flows/host.go
+++ b/internal/standin/flows/host.go
@@ -25,9 +25,10 @@
 	address    netip.AddrPort
 	clientPort uint16
 
-	mu    sync.Mutex
-	flows map[netip.AddrPort]*hostFlow
-	seen  Seen
+	mu     sync.Mutex
+	flows  map[netip.AddrPort]*hostFlow
+	seen   Seen
+	onOpen func(via netip.Addr, service netip.AddrPort)
 }
 
 type hostFlow struct {
@@ -66,6 +67,14 @@
 // Address returns where the host listens.
 func (h *Host) Address() netip.AddrPort { return h.address }
 
+// OnOpen sets a function that is called for each opening packet with the instance that
+// sent it and the service address that the client used.
+func (h *Host) OnOpen(f func(via netip.Addr, service netip.AddrPort)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onOpen = f
+}
+
 // Stop ends the host as a crash does.
 func (h *Host) Stop() {
 	h.conn.Close()
@@ -94,7 +103,7 @@
 func (h *Host) serve() {
 	b := make([]byte, 2048)
 	for {
-		n, err := h.conn.Read(b)
+		n, from, err := h.conn.ReadFromUDPAddrPort(b)
 		if err != nil {
 			return
 		}
@@ -104,13 +113,13 @@
 		p, ok := Unmarshal(b[8:n])
 		h.mu.Lock()
 		if ok {
-			h.take(binary.BigEndian.Uint64(b), p)
+			h.take(binary.BigEndian.Uint64(b), from.Addr(), p)
 		}
 		h.mu.Unlock()
 	}
 }
 
-func (h *Host) take(id uint64, p Packet) {
+func (h *Host) take(id uint64, via netip.Addr, p Packet) {
 	switch f := h.flows[p.Source]; {
 	case id != 0 && id != h.number():
 		h.seen.Foreign++
@@ -118,6 +127,9 @@
 		h.seen.Forged++
 	case p.Flags&SYN != 0:
 		h.seen.Opened++
+		if h.onOpen != nil {
+			h.onOpen(via.Unmap(), p.Destination)
+		}
 		h.flows[p.Source] = &hostFlow{echo: p.Echo, sequence: 1000, expected: p.Sequence + 1}
 		h.send(p, SYN|ACK, p.Echo, 999, p.Sequence+1, nil)
 	case f == nil:
