--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,6 +50,7 @@
 	incarnation uint64
 	timing      timing
 	probeSlots  chan struct{}
+	storePause  time.Duration // after the last failed call; used by followStore alone
 	peers       *peers
 
 	mu     sync.Mutex
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// retryPause follows a failed call.
-	retryPause = 250 * time.Millisecond
+	// retryPause follows a failed call and doubles up to maxRetryPause, since refused calls
+	// are paid for; the longest pause is a third of the shortest bound on a change.
+	retryPause    = 250 * time.Millisecond
+	maxRetryPause = time.Second
 	// dutyInterval is the time between checks whether this instance has to watch.
 	dutyInterval = 50 * time.Millisecond
 	// seedPatience is how long a start waits for its seeds before it reads the store: a
@@ -89,12 +91,17 @@
 	}
 	f.mu.Unlock()
 	if err == nil {
+		if f.storePause > 0 {
+			f.log.Info().Msg("store_answers_again")
+		}
+		f.storePause = 0
 		return
 	}
 	f.log.Warn().Uint16(logging.Code, uint16(code)).Err(err).Msg("store_call_failed")
 	if failed {
 		f.store.CloseIdle()
-		sleep(ctx, retryPause)
+		f.storePause = min(max(2*f.storePause, retryPause), maxRetryPause)
+		sleep(ctx, f.storePause)
 	}
 }
 
