Let the store's stand-in notice that a silenced caller with a body has left

Cause: the soak hung at its end with mutated programs: a handler that stays silent had not read the request's body, and net/http notices the end of a connection only after it. Ruled out: locks of the soak (goroutine dump: only the server's Close waits).

--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -179,16 +180,23 @@
 		case fault == Many:
 			w.WriteHeader(http.StatusTooManyRequests)
 		case fault == Silent:
-			<-r.Context().Done()
+			untilCallerLeaves(r)
 		case fault == LostAnswer && r.Method != http.MethodGet:
 			h(discard{http.Header{}}, r)
-			<-r.Context().Done()
+			untilCallerLeaves(r)
 		default:
 			h(w, r)
 		}
 	}
 }
 
+// untilCallerLeaves reads the rest of the body first, because the end of a connection is
+// noticed only after it.
+func untilCallerLeaves(r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 // discard drops an answer.
 type discard struct{ header http.Header }
 
