--- a/cmd/monsoonthread-forwarder/main.go
+++ b/cmd/monsoonthread-forwarder/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -19,24 +18,10 @@
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
-// Exit codes.
-const (
-	exitError    = 1
-	exitSettings = 2
-)
-
 // gcPercent trades some processor time for memory, whose peak is paid for.
 const gcPercent = 50
 
-func main() {
-	if err := command().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "monsoonthread-forwarder:", err)
-		if result.CodeOf(err) == result.SettingsInvalid {
-			os.Exit(exitSettings)
-		}
-		os.Exit(exitError)
-	}
-}
+func main() { settings.ExitOnError("monsoonthread-forwarder", command().Execute()) }
 
 func command() *cobra.Command {
 	c := &cobra.Command{
--- a/cmd/monsoonthreadd/main.go
+++ b/cmd/monsoonthreadd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -21,21 +20,7 @@
 // version is set at build time with -ldflags "-X main.version=...".
 var version = "devel"
 
-// Exit codes.
-const (
-	exitError    = 1
-	exitSettings = 2
-)
-
-func main() {
-	if err := command().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "monsoonthreadd:", err)
-		if result.CodeOf(err) == result.SettingsInvalid {
-			os.Exit(exitSettings)
-		}
-		os.Exit(exitError)
-	}
-}
+func main() { settings.ExitOnError("monsoonthreadd", command().Execute()) }
 
 func command() *cobra.Command {
 	var s settings.Settings
--- a/forwarding/load_test.go
+++ b/forwarding/load_test.go
@@ -12,14 +12,13 @@
 // It is the load pattern of the users' sites: 2 slots, speeds 0.7 and 1.7, flows that stay
 // at their server.
 type fleet struct {
-	e       *Engine
-	speeds  []float64
-	work    []time.Duration // done in the measured span
-	queued  []time.Duration // time at which the server's slots are free again, summed
-	flows   []simFlow
-	rng     *rand.Rand
-	port    uint16
-	version uint64
+	e      *Engine
+	speeds []float64
+	work   []time.Duration // done in the measured span
+	queued []time.Duration // time at which the server's slots are free again, summed
+	flows  []simFlow
+	rng    *rand.Rand
+	port   uint16
 }
 
 type simFlow struct {
--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -14,7 +14,6 @@
 	now      time.Duration
 	rev      uint64
 	version  uint64
-	names    []string
 	owner    map[FlowKey]uint32 // cookie of the server at which the flow opened
 	progress map[uint32]time.Duration
 	probed   map[string]ProbeOutcome // last outcome for each server
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,7 +23,7 @@
 type eventLog struct {
 	log     zerolog.Logger
 	limit   *rate.Limiter
-	skipped uint64
+	skipped atomic.Uint64 // lines left out since the last one
 }
 
 func newEventLog(log zerolog.Logger) *eventLog {
@@ -33,9 +34,14 @@
 // event do nothing.
 func (l *eventLog) line(level zerolog.Level) *zerolog.Event {
 	if !l.limit.Allow() {
+		l.skipped.Add(1)
 		return nil
 	}
-	return l.log.WithLevel(level)
+	e := l.log.WithLevel(level)
+	if n := l.skipped.Swap(0); n > 0 {
+		e.Uint64("skipped_lines", n)
+	}
+	return e
 }
 
 func (l *eventLog) decided(p forwarding.Packet, d forwarding.Decision, version uint64) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -360,6 +360,6 @@
 func TestRegistrationReturns(t *testing.T) {
 	d, _, _ := pair(t)
 	d.eventually("both registered", patience, func() bool { return len(d.store.Keys(instancePrefix)) == 2 })
-	d.store.Remove(instancePrefix + "a")
+	d.store.EndLeases()
 	d.eventually("registered again", patience, func() bool { return len(d.store.Keys(instancePrefix)) == 2 })
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,24 @@
 	f.StringVar(&s.DispatchPolicy, "dispatch-policy", Policies[0], "choice among dispatchers: "+strings.Join(Policies, ", "))
 }
 
+// Exit codes of the daemons.
+const (
+	exitError    = 1
+	exitSettings = 2
+)
+
+// ExitOnError ends the process if err is not nil: with code 2 for bad settings, else 1.
+func ExitOnError(program string, err error) {
+	if err == nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+	if result.CodeOf(err) == result.SettingsInvalid {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitError)
+}
+
 // ApplyEnvironment sets each flag that is not on the command line from its
 // environment variable, if that is not empty. It returns every value that a flag does
 // not accept.
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -93,6 +93,16 @@
 	s.wake()
 }
 
+// EndLeases ends all leases and removes their keys, as the platform may in an outage.
+func (s *Store) EndLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for lease := range s.leases {
+		s.leases[lease] = time.Time{}
+	}
+	s.expire()
+}
+
 // Keys returns the keys with a prefix.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -157,9 +167,9 @@
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	for pattern, h := range map[string]http.HandlerFunc{
-		"GET /monsoonthread/kv-key": s.get, "GET /monsoonthread/kv-range": s.list, "GET /monsoonthread/kv-watch": s.watch,
+		"GET /monsoonthread/kv-range": s.list, "GET /monsoonthread/kv-watch": s.watch,
 		"POST /monsoonthread/kv-txn": s.transact, "POST /monsoonthread/kv-lease": s.grant,
-		"POST /monsoonthread/kv-keep/{id}": s.keep, "DELETE /monsoonthread/kv-lease-end/{id}": s.end,
+		"POST /monsoonthread/kv-keep/{id}": s.keep,
 	} {
 		mux.HandleFunc(pattern, s.faulty(h))
 	}
@@ -209,20 +219,6 @@
 	json.NewEncoder(w).Encode(v)
 }
 
-func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	it, ok := s.items[r.URL.Query().Get("key")]
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	answer(w, struct {
-		item
-		AsOf uint64 `json:"asOf"`
-	}{it, s.revision})
-}
-
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -350,14 +346,6 @@
 	})
 }
 
-func (s *Store) end(w http.ResponseWriter, r *http.Request) {
-	s.withLease(w, r, func(lease uint64) {
-		s.leases[lease] = time.Time{}
-		s.expire()
-		answer(w, map[string]uint64{"revision": s.revision})
-	})
-}
-
 func (s *Store) withLease(w http.ResponseWriter, r *http.Request, f func(uint64)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -11,7 +11,7 @@
 
 const freshTime = 2400 * time.Millisecond
 
-// net connects meshes that exchange status messages each interval; links and store
+// network connects meshes that exchange status messages each interval; links and store
 // access can fail.
 type network struct {
 	now       time.Duration
@@ -20,12 +20,11 @@
 
 type node struct {
 	*Mesh
-	asOf   uint64
-	up     bool
-	store  bool // its calls succeed
-	cut    bool // no messages in or out
-	watch  bool
-	nextAt time.Duration // of the watch call under way
+	asOf  uint64
+	up    bool
+	store bool // its calls succeed
+	cut   bool // no messages in or out
+	watch bool
 }
 
 func newNetwork(domains, size int) *network {
