Index servers instead of scanning them; pull in generations; ask seeds one after the other

Change: sets of doubted and active servers, indexes by address and cookie, heads of other domains in a list of their own; lines about records within the bounded volume; instances pull in generations that double; a start asks one seed at a time.

--- a/forwarding/benchmark_test.go
+++ b/forwarding/benchmark_test.go
@@ -19,7 +19,9 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)})
 		s.listed = true
 	}
-	e.rebuild(0)
+	for _, s := range e.servers {
+		e.regroup(0, s)
+	}
 	keys := make([]FlowKey, flows)
 	for i := range keys {
 		keys[i] = FlowKey{Client: uint32(i >> 14), ClientPort: uint16(i & 0x3fff), Service: 10, ServicePort: 443}
--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -48,7 +48,7 @@
 	if local != nil && localBusy < spillUtilization {
 		return local
 	}
-	remote, remoteBusy := e.leastLoaded(now, svc.remote, (*server).usableHead)
+	remote, remoteBusy := e.leastLoaded(now, svc.heads, (*server).usableHead)
 	if remote != nil && (local == nil || remoteBusy < localBusy*spillGain) {
 		return remote
 	}
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 )
 
@@ -45,6 +46,9 @@
 	pending      []pendingOpen // in the order of their times
 	nextForget   time.Duration
 	busy         map[*server]struct{} // servers with requests under way
+	doubted      map[*server]struct{} // servers that are not trusted
+	active       map[*server]struct{} // servers with a rate of requests
+	byAddress    map[netip.AddrPort][]*server
 
 	peerLoads map[string]peerLoads
 	handshake float64 // usual time of a handshake in nanoseconds
@@ -76,6 +80,9 @@
 		byCookie:    make(map[uint32][]*server),
 		flows:       make(map[FlowKey]*flow),
 		busy:        make(map[*server]struct{}),
+		doubted:     make(map[*server]struct{}),
+		active:      make(map[*server]struct{}),
+		byAddress:   make(map[netip.AddrPort][]*server),
 		peerLoads:   make(map[string]peerLoads),
 		handshake:   float64(priorHandshake),
 	}
@@ -115,7 +122,7 @@
 	}
 	if len(e.flows) < e.cfg.MaxFlows {
 		f = e.track(now, p.Flow, s, r.kind)
-		s.meter.expected += s.service.flowRate()
+		e.expect(s)
 		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
 	}
 	return Decision{Verdict: Forward, Reason: Chosen, Target: s.target()}, actions
@@ -198,9 +205,9 @@
 // Tick does what time alone brings about. It is due about every 50 ms.
 func (e *Engine) Tick(now time.Duration) []Action {
 	actions := append(e.checkPending(now), e.checkSilence(now)...)
-	for _, s := range e.servers {
+	for s := range e.doubted {
 		v := &s.evidence
-		if v.state >= suspected && s.listed && !v.replaced && !v.probing && now >= v.nextProbe {
+		if s.listed && !v.replaced && !v.probing && now >= v.nextProbe {
 			actions = append(actions, e.probe(s)...)
 		}
 	}
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -66,7 +66,6 @@
 	replaced     bool          // a newer record names the server's address
 	repeats      int           // packets that clients sent again since the last progress
 	silent       int           // probes in a row without an answer
-	since        time.Duration // of the suspicion
 	lastProgress time.Duration // last sign of life on any flow
 	nextProbe    time.Duration
 	nextSuspect  time.Duration
@@ -86,11 +85,21 @@
 	OtherServer // the address belongs to another server
 )
 
+// setState changes what is believed of a server and keeps the set of those in doubt.
+func (e *Engine) setState(s *server, state evidenceState) {
+	s.evidence.state = state
+	if state == trusted {
+		delete(e.doubted, s)
+	} else {
+		e.doubted[s] = struct{}{}
+	}
+}
+
 // progress notes a sign of life of the server, elapsed after what it answers.
 func (e *Engine) progress(now time.Duration, s *server, elapsed time.Duration) {
 	s.evidence.lastProgress, s.evidence.repeats = now, 0
 	if s.evidence.state == suspected {
-		s.evidence.state = trusted
+		e.setState(s, trusted)
 	}
 	if elapsed <= quickAnswer {
 		e.noteQuick(now, s)
@@ -152,7 +161,8 @@
 		return nil
 	}
 	if v.state == trusted {
-		v.state, v.since, v.silent = suspected, now, 0
+		e.setState(s, suspected)
+		v.silent = 0
 	}
 	return e.probe(s)
 }
@@ -175,7 +185,8 @@
 	case Answered, Mute:
 		// A server that accepts connections but is slow to answer may be busy.
 		if !v.replaced {
-			v.state, v.silent, v.nextSuspect = trusted, 0, now+suspectAgain
+			e.setState(s, trusted)
+			v.silent, v.nextSuspect = 0, now+suspectAgain
 			if now-v.answeredAt > suspectCalm {
 				v.answers = 0
 			}
@@ -205,7 +216,8 @@
 func (e *Engine) silentProbe(now time.Duration, s *server) []Action {
 	v := &s.evidence
 	if v.state == suspected {
-		v.state, v.nextProbe = unreachable, now
+		e.setState(s, unreachable)
+		v.nextProbe = now
 		return append([]Action{{Kind: TellPeers, Target: s.target(), Server: s.Name}}, e.reopen(now, s)...)
 	}
 	if !e.certainlyUnreachable(now, s) {
@@ -240,7 +252,7 @@
 	if v.state == dead {
 		return nil
 	}
-	v.state, v.since = dead, now
+	e.setState(s, dead)
 	actions := []Action{{Kind: TellPeers, Target: s.target(), Server: s.Name}}
 	actions = append(actions, e.reopen(now, s)...)
 	return append(actions, e.resetFlows(now, s, true)...)
@@ -263,7 +275,7 @@
 			continue
 		}
 		e.assign(f, next)
-		next.meter.expected += next.service.flowRate()
+		e.expect(next)
 		f.sentAt = millis(now)
 		actions = append(actions, Action{Kind: SendPacket, Flow: f.key, Packet: p.packet, Target: next.target(), Server: next.Name, Reason: ServerDead})
 	}
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -107,7 +107,7 @@
 		if !f.waiting && f.state == open {
 			e.setWaiting(now, f, true)
 			f.sentAt = millis(now)
-			f.server.meter.arrivals++
+			e.countRequest(f.server)
 		}
 		return nil
 	}
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -68,7 +68,7 @@
 // Loads returns the loads that this instance causes.
 func (e *Engine) Loads() []Load {
 	var out []Load
-	for _, s := range e.servers {
+	for s := range e.active {
 		if rate := s.meter.rate + s.meter.expected; rate > minStatedRate {
 			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: s.measuredTime()})
 		}
@@ -110,9 +110,13 @@
 // SetDomainHeads replaces the heads that another failure domain states.
 func (e *Engine) SetDomainHeads(now time.Duration, domain string, heads []Load) {
 	e.SetPeerLoads(now, domainSource+domain, heads)
+	for _, svc := range e.services {
+		svc.heads = slices.DeleteFunc(svc.heads, func(s *server) bool { return s.Domain == domain })
+	}
 	for _, l := range heads {
 		for _, s := range e.byCookie[l.Cookie] {
 			s.headUntil = now + peerLoadLifetime
+			s.service.heads = append(s.service.heads, s)
 		}
 	}
 }
@@ -163,11 +167,15 @@
 	for _, s := range e.services {
 		s.rate, s.flows, s.service, s.measured = 0, 0, 0, 0
 	}
-	for _, s := range e.servers {
+	for s := range e.active {
 		m := &s.meter
 		m.rate += (float64(m.arrivals)/rateInterval.Seconds() - m.rate) * rateGain
 		m.expected *= 1 - rateGain
 		m.arrivals = 0
+		if m.rate+m.expected < minStatedRate {
+			m.rate, m.expected = 0, 0
+			delete(e.active, s)
+		}
 		s.service.rate += m.rate
 		s.service.flows += s.flows
 		if m.samples >= trustedSamples {
@@ -177,6 +185,18 @@
 	}
 }
 
+// countRequest counts a request at a server.
+func (e *Engine) countRequest(s *server) {
+	s.meter.arrivals++
+	e.active[s] = struct{}{}
+}
+
+// expect adds the requests that a new flow is expected to make.
+func (e *Engine) expect(s *server) {
+	s.meter.expected += s.service.flowRate()
+	e.active[s] = struct{}{}
+}
+
 // flowRate returns the requests per second that a new flow is expected to make.
 func (s *service) flowRate() float64 {
 	if s.flows == 0 {
--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -184,6 +184,9 @@
 		if s.flows != flows[s] || s.waiting != waiting[s] {
 			t.Fatalf("server %s counts %d flows and %d waiting, the table has %d and %d", s.Name, s.flows, s.waiting, flows[s], waiting[s])
 		}
+		if _, doubted := w.e.doubted[s]; doubted != (s.evidence.state != trusted) {
+			t.Fatalf("server %s in doubt %v, state %v", s.Name, doubted, s.evidence.state)
+		}
 		if _, busy := w.e.busy[s]; busy != (s.waiting > 0) {
 			t.Fatalf("server %s busy %v with %d waiting", s.Name, busy, s.waiting)
 		}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -33,6 +33,7 @@
 	name          string
 	healthPath    string
 	local, remote []*server // listed servers of the own and of other failure domains
+	heads         []*server // that other domains offer
 
 	// Sums over the servers, taken once per interval.
 	rate     float64 // requests per second of the own flows
@@ -102,9 +103,10 @@
 	s.listed = true
 	s.coldUntil = now + in.ColdLeft
 	if restarted {
+		e.setState(s, trusted)
 		s.evidence = evidence{}
 	}
-	return e.rebuild(now)
+	return e.regroup(now, s)
 }
 
 // RemoveServer applies the removal of a record; in holds its last value and the
@@ -117,7 +119,7 @@
 		s = e.addServer(in)
 		e.setRecord(s, in)
 		s.removedAt = now - entryReturnTime
-		return e.rebuild(now)
+		return e.regroup(now, s)
 	case in.Revision <= s.Revision:
 		return nil
 	}
@@ -126,7 +128,7 @@
 		return nil
 	}
 	s.listed, s.removedAt = false, now
-	actions := e.rebuild(now)
+	actions := e.regroup(now, s)
 	if s.flows > 0 {
 		actions = append(actions, e.suspect(now, s)...)
 	}
@@ -140,9 +142,34 @@
 	return s
 }
 
+// setRecord takes over a record and moves the server between the lists that choices are
+// made from and the index by address.
 func (e *Engine) setRecord(s *server, in Server) {
+	known := s.service != nil
+	moved := known && (s.Service != in.Service || s.Domain != in.Domain)
+	if moved {
+		s.service.drop(s)
+	}
+	if known && s.Address != in.Address {
+		e.byAddress[s.Address] = remove(e.byAddress[s.Address], s)
+	}
+	if !known || s.Address != in.Address {
+		e.byAddress[in.Address] = append(e.byAddress[in.Address], s)
+	}
 	s.Server, s.service = in, e.service(in.Service)
 	s.local = in.Domain == e.cfg.Domain
+	switch {
+	case known && !moved:
+	case s.local:
+		s.service.local = append(s.service.local, s)
+	default:
+		s.service.remote = append(s.service.remote, s)
+	}
+}
+
+// drop takes a server out of the lists of its service.
+func (svc *service) drop(s *server) {
+	svc.local, svc.remote, svc.heads = remove(svc.local, s), remove(svc.remote, s), remove(svc.heads, s)
 }
 
 // supersedes reports whether s has the address that o had: an address is given to
@@ -151,36 +178,27 @@
 	return s != o && s.Address == o.Address && s.listed && (!o.listed || o.Revision < s.Revision)
 }
 
-// rebuild recomputes the lists that choices are made from and what follows from the
-// records of several servers together. Changes of records are rare next to packets.
-func (e *Engine) rebuild(now time.Duration) []Action {
-	for _, s := range e.services {
-		s.local, s.remote = s.local[:0], s.remote[:0]
+// regroup recomputes what follows from the records of a server and of those that share
+// its cookie or address. It takes the same time with any number of other servers.
+func (e *Engine) regroup(now time.Duration, s *server) []Action {
+	same := e.byCookie[s.cookie]
+	lowest := lowestID(same)
+	for _, o := range same {
+		o.shadowed = o.cookie == 0 || lowest != nil && o != lowest
 	}
-	owner := make(map[netip.AddrPort]*server, len(e.servers))
-	for _, s := range e.servers {
-		if o := owner[s.Address]; o == nil || s.supersedes(o) {
-			owner[s.Address] = s
-		}
-		if s.local {
-			s.service.local = append(s.service.local, s)
-		} else {
-			s.service.remote = append(s.service.remote, s)
-		}
-	}
-	for _, same := range e.byCookie {
-		lowest := lowestID(same)
-		for _, s := range same {
-			s.shadowed = s.cookie == 0 || lowest != nil && s != lowest
+	owner := s
+	for _, o := range e.byAddress[s.Address] {
+		if o.supersedes(owner) {
+			owner = o
 		}
 	}
 	var actions []Action
-	for _, s := range e.servers {
-		replaced := owner[s.Address].supersedes(s)
-		if replaced && !s.evidence.replaced {
-			actions = append(actions, e.declareDead(now, s)...)
+	for _, o := range e.byAddress[s.Address] {
+		replaced := owner.supersedes(o)
+		if replaced && !o.evidence.replaced {
+			actions = append(actions, e.declareDead(now, o)...)
 		}
-		s.evidence.replaced = replaced
+		o.evidence.replaced = replaced
 	}
 	return actions
 }
@@ -199,20 +217,24 @@
 
 // forgetServers deletes servers whose record vanished longer ago than a flow lives.
 func (e *Engine) forgetServers(now time.Duration) {
-	forgotten := false
 	for name, s := range e.servers {
 		if s.listed || now-s.removedAt < e.cfg.CookieLifetime {
 			continue
 		}
-		delete(e.servers, name)
-		e.byCookie[s.cookie] = remove(e.byCookie[s.cookie], s)
-		if len(e.byCookie[s.cookie]) == 0 {
-			delete(e.byCookie, s.cookie)
-		}
-		forgotten = true
+		e.forget(name, s)
+	}
+}
+
+func (e *Engine) forget(name string, s *server) {
+	delete(e.servers, name)
+	delete(e.doubted, s)
+	delete(e.active, s)
+	s.service.drop(s)
+	if e.byCookie[s.cookie] = remove(e.byCookie[s.cookie], s); len(e.byCookie[s.cookie]) == 0 {
+		delete(e.byCookie, s.cookie)
 	}
-	if forgotten {
-		e.rebuild(now)
+	if e.byAddress[s.Address] = remove(e.byAddress[s.Address], s); len(e.byAddress[s.Address]) == 0 {
+		delete(e.byAddress, s.Address)
 	}
 }
 
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/monsoonthread/monsoonthread/directory"
 	"github.com/monsoonthread/monsoonthread/internal/logging"
 	"github.com/monsoonthread/monsoonthread/mesh"
@@ -141,19 +144,29 @@
 	}
 }
 
-// pullFromSeeds asks all seeds for records at the same time and returns once one of
-// them had current ones or all have answered.
+// pullFromSeeds asks the seeds for records, in random order and each a little after the
+// one before, and returns once one of them had current ones or all have answered.
 func (f *Forwarder) pullFromSeeds(ctx context.Context) {
 	seeds, err := f.settings.Load().SeedAddresses()
 	if err != nil {
 		return
 	}
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	answers := make(chan error, len(seeds))
-	for _, a := range seeds {
-		go func() { answers <- f.pull(ctx, a, 0) }()
-	}
-	for range seeds {
-		<-answers
+	for asked, answered := 0, 0; answered < len(seeds); {
+		var next <-chan time.Time
+		if asked < len(seeds) {
+			a := seeds[asked]
+			asked++
+			go func() { answers <- f.pull(ctx, a, 0) }()
+			next = time.After(seedPatience / 2)
+		}
+		select {
+		case <-next:
+			continue
+		case <-answers:
+			answered++
+		}
 		f.mu.Lock()
 		fresh := f.mesh.Fresh(f.now())
 		f.mu.Unlock()
@@ -271,7 +284,7 @@
 	f.mu.Lock()
 	actions := put(f.now(), s)
 	f.mu.Unlock()
-	f.log.Info().Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
+	f.events.line(zerolog.InfoLevel).Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
 		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.Born).Uint64("revision", r.Revision).Msg("server")
 	f.perform(actions)
 }
--- a/mesh/pull.go
+++ b/mesh/pull.go
@@ -7,12 +7,11 @@
 )
 
 const (
-	// pullDelay lets a record that was pushed arrive before it is pulled. Later ranks wait
-	// pullStep longer for each pullWidth instances, and pull from any that is ahead, so
-	// that a large record does not fill the link of the one that read it.
-	pullDelay = 100 * time.Millisecond
-	pullStep  = 100 * time.Millisecond
-	pullWidth = 3
+	// pullDelay lets a record that was pushed arrive before it is pulled. Instances pull in
+	// generations, each twice as large as the one before and pullDelay later, from any peer
+	// that is ahead, so that a large record does not fill the link of the one that read it.
+	pullDelay       = 100 * time.Millisecond
+	firstGeneration = 3
 )
 
 // PullFrom returns a live peer whose records are complete to a higher revision for so
@@ -42,12 +41,16 @@
 
 // pullDelay returns the delay of this instance by its place in the failure domain.
 func (m *Mesh) pullDelay() time.Duration {
+	delay, last := pullDelay, firstGeneration
 	for i, p := range m.ranked[m.cfg.Self.Domain] {
 		if p.ID == m.cfg.Self.ID {
-			return pullDelay + time.Duration(i/pullWidth)*pullStep
+			break
+		}
+		if i+1 == last {
+			delay, last = delay+pullDelay, 2*last
 		}
 	}
-	return pullDelay
+	return delay
 }
 
 func (m *Mesh) prefer(a, b *member) bool {
--- a/mesh/recipients.go
+++ b/mesh/recipients.go
@@ -40,7 +40,7 @@
 		switch {
 		case len(full) < fullRecipients && p.due(now, m.aliveTime()):
 			full = append(full, p.Address)
-		case m.watching && p.alive(now, m.aliveTime()):
+		case m.watching && p.due(now, m.aliveTime()):
 			bare = append(bare, p.Address)
 		}
 	}
@@ -48,11 +48,12 @@
 	return full, bare
 }
 
-// AliveDomainPeers returns the addresses of the live peers in the own failure domain.
+// AliveDomainPeers returns the addresses of the peers in the own failure domain that are
+// alive or were not heard yet: after a start, the turns of a large domain take seconds.
 func (m *Mesh) AliveDomainPeers(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, p := range m.ranked[m.cfg.Self.Domain] {
-		if p.ID != m.cfg.Self.ID && p.alive(now, m.aliveTime()) {
+		if p.ID != m.cfg.Self.ID && (!p.heard || p.alive(now, m.aliveTime())) {
 			out = append(out, p.Address)
 		}
 	}
