Start from a stale listing and make it current with a watch

Cause: after a loss of all machines each instance lists the whole store: 66 pages at 300 machines, above the store's rate of reads, so that starts fail with 429. Ruled out: trusting the listing (TestStartFromStaleListing: version 1 instead of 2). Change: the first listing allows stale reads, which are not counted; a watch that does not wait brings the changes since then, and only then the instance is ready. Dropped history: a strict listing.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -254,6 +254,29 @@
 	d.eventually("ready", patience, func() bool { return d.ready(a) })
 }
 
+// Guards against an instance that serves an old configuration after its start, because
+// its first listing may be seconds old.
+func TestStartFromStaleListing(t *testing.T) {
+	d := newDeployment(t)
+	d.host("i-1", "orders", "laval", 1)
+	d.store.FreezeStaleReads()
+	d.configure("orders")
+	d.store.Put(wire.ServerPrefix+"i-1", d.hosts["i-1"].Entry("draining"))
+	a := d.start("a", "laval", 1)
+	d.eventually("ready", patience, func() bool { return d.ready(a) })
+	if a.version() != 2 || !a.knows(wire.ServerPrefix+"i-1", "draining") {
+		t.Errorf("ready with version %d", a.version())
+	}
+	d.store.FreezeStaleReads()
+	d.configure("orders")
+	d.store.DropHistory()
+	b := d.start("b", "levis", 2)
+	d.eventually("ready after a dropped history", patience, func() bool { return d.ready(b) })
+	if b.version() != 3 {
+		t.Errorf("ready with version %d after a dropped history", b.version())
+	}
+}
+
 // Guards against clients that wait for a server that has crashed: the flow is reset, and
 // a new one goes to another server.
 func TestFlowsOfACrashedServerAreReset(t *testing.T) {
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -26,6 +26,9 @@
 	// seedPatience is how long a start waits for its seeds before it reads the store: a
 	// connection within a region and an answer take a few milliseconds.
 	seedPatience = 30 * time.Millisecond
+	// maxListAttempts bounds the attempts to make a stale listing current: about 3 s, after
+	// which serving with records that are seconds old is better than not serving.
+	maxListAttempts = 4
 	// everything is the prefix of all keys: one watch covers configuration, servers and
 	// instances.
 	everything = ""
@@ -73,9 +76,9 @@
 		}
 		var err error
 		if listed {
-			err = f.watchOnce(ctx)
+			err = f.watchOnce(ctx, f.timing.watchWait, f.timing.batchPause)
 			listed = result.CodeOf(err) != result.StoreHistoryGone
-		} else if err = f.list(ctx); err == nil {
+		} else if err = f.list(ctx, false); err == nil {
 			listed = true
 		}
 		f.noteCall(ctx, err)
@@ -119,31 +122,45 @@
 // costs the store nothing and also brings the servers that left; else from the store;
 // else from any peer.
 func (f *Forwarder) catchUp(ctx context.Context) {
-	pulled := make(chan struct{}, 1)
+	asked := make(chan struct{}, 1)
 	go func() {
 		f.pullFromSeeds(ctx)
-		pulled <- struct{}{}
+		asked <- struct{}{}
 	}()
 	select {
 	case <-ctx.Done():
-	case <-pulled:
+	case <-asked:
 	case <-time.After(seedPatience):
 	}
-	for ctx.Err() == nil {
+	fromPeer := f.complete()
+	for range maxListAttempts {
 		f.mu.Lock()
 		fresh := f.mesh.Fresh(f.now()) && f.table.AsOf() > 0
 		f.mu.Unlock()
-		if fresh {
+		if fresh || ctx.Err() != nil {
 			return
 		}
-		err := f.list(ctx)
+		err := f.listAndWatch(ctx)
 		f.noteCall(ctx, err)
-		if err == nil || f.complete() {
+		if err == nil || fromPeer {
 			return
 		}
 	}
 }
 
+// listAndWatch reads a listing that may be seconds old, which the store serves to all
+// instances of a large deployment at once, and the changes since then, which are current.
+func (f *Forwarder) listAndWatch(ctx context.Context) error {
+	if err := f.list(ctx, true); err != nil {
+		return err
+	}
+	err := f.watchOnce(ctx, time.Millisecond, 0)
+	if result.CodeOf(err) == result.StoreHistoryGone {
+		return f.list(ctx, false)
+	}
+	return err
+}
+
 // pullFromSeeds asks the seeds for records, in random order and each a little after the
 // one before, and returns once one of them had current ones or all have answered.
 func (f *Forwarder) pullFromSeeds(ctx context.Context) {
@@ -176,16 +193,16 @@
 	}
 }
 
-// list reads all records.
-func (f *Forwarder) list(ctx context.Context) error {
+// list reads all records. A stale listing is complete only up to its oldest page.
+func (f *Forwarder) list(ctx context.Context, stale bool) error {
 	var records []directory.Record
 	var asOf uint64
 	for after := ""; ; {
-		page, err := f.store.Range(ctx, everything, after)
+		page, err := f.store.Range(ctx, everything, after, stale)
 		if err != nil {
 			return err
 		}
-		if asOf == 0 {
+		if asOf == 0 || page.AsOf < asOf {
 			asOf = page.AsOf
 		}
 		records = append(records, toRecords(page.Items)...)
@@ -202,11 +219,11 @@
 }
 
 // watchOnce applies the next changes and then pauses for a batch.
-func (f *Forwarder) watchOnce(ctx context.Context) error {
+func (f *Forwarder) watchOnce(ctx context.Context, wait, pause time.Duration) error {
 	f.mu.Lock()
 	after := f.table.AsOf()
 	f.mu.Unlock()
-	events, err := f.store.Watch(ctx, everything, after, f.timing.watchWait)
+	events, err := f.store.Watch(ctx, everything, after, wait)
 	if err != nil {
 		return err
 	}
@@ -219,7 +236,7 @@
 	}
 	f.push(u)
 	f.apply(news)
-	sleep(ctx, f.timing.batchPause)
+	sleep(ctx, pause)
 	return nil
 }
 
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -50,6 +50,7 @@
 	fault    Fault
 	calls    map[string]int
 	changed  chan struct{}
+	stale    *Store // what stale reads return, if they lag
 }
 
 // New returns an empty store.
@@ -85,6 +86,13 @@
 	s.remove(key)
 }
 
+// FreezeStaleReads lets stale reads return the present items from now on.
+func (s *Store) FreezeStaleReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = &Store{items: maps.Clone(s.items), revision: s.revision}
+}
+
 // DropHistory forgets all changes; watches that continue from before get 410.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -222,6 +230,9 @@
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stale != nil && r.URL.Query().Get("allowStale") == "1" {
+		s = s.stale
+	}
 	keys := s.keys(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
 	page := struct {
 		Items []item `json:"items"`
