--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -73,16 +73,16 @@
 	answeredAt   time.Duration // the last of them
 }
 
-// ProbeOutcome is the outcome of a connection attempt.
+// ProbeOutcome is the outcome of a probe.
 type ProbeOutcome uint8
 
 // The outcomes of probes.
 const (
-	Answered ProbeOutcome = iota
-	Refused
-	Silent      // no connection in time
-	Mute        // connected, but no answer in time
-	OtherServer // the address belongs to another server
+	Answered    ProbeOutcome = iota // by the server itself
+	Refused                         // nobody listens at its address
+	Silent                          // no connection in time
+	Mute                            // connected, but no answer in time
+	OtherServer                     // the address belongs to another server
 )
 
 // setState changes what is believed of a server and keeps the set of those in doubt.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,7 +77,7 @@
 	self := mesh.Peer{ID: s.InstanceID, Domain: s.FailureDomain, Address: netip.MustParseAddrPort(s.PeerAddress)}
 	f := &Forwarder{
 		self:        self,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: rand.Uint64(),
 		peers:       peerSockets,
 		timing:      newTiming(&s),
 		probeSlots:  make(chan struct{}, maxProbes),
@@ -93,7 +93,7 @@
 			Domain:         s.FailureDomain,
 			CookieLifetime: 2 * s.MaxFlowLifetime,
 			MaxFlows:       s.MaxFlows(),
-			Seed:           uint64(time.Now().UnixNano()) ^ uint64(os.Getpid()),
+			Seed:           rand.Uint64(),
 		}),
 		table: directory.NewTable(2 * s.MaxFlowLifetime),
 	}
