Start although the metrics address is taken

Change: a warning with a number; the tests start every instance with a metrics address that is taken (they failed before).

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -82,12 +82,13 @@
 	d.store.Put(wire.ConfigurationKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8443/","kind":"idempotent","service":%q}],"services":[{"name":%q,"healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}}`, d.version, name, name)))
 }
 
-// start starts an instance: name and number of its address.
+// start starts an instance: name and number of its address. Its metrics address is taken,
+// which must not keep it from working.
 func (d *deployment) start(name, domain string, number int, seeds ...string) *instance {
 	ip := fmt.Sprint("127.0.2.", number)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, d.ports[i]) }
 	s := Settings{
-		InstanceID: name, FailureDomain: domain, DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
+		InstanceID: name, FailureDomain: domain, MetricsAddress: at(1), DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
 		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, MaxFlowLifetime: time.Minute,
 		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, LogLevel: "info",
 	}
--- a/internal/forwarder/lifecycle.go
+++ b/internal/forwarder/lifecycle.go
@@ -121,17 +121,25 @@
 	mux.HandleFunc("GET /metrics", f.writeMetrics)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 4096}
 	go server.Serve(listener)
-	if address := f.settings.Load().MetricsAddress; address != "" {
-		metricsListener, err := net.Listen("tcp4", address)
-		if err != nil {
-			server.Close()
-			return nil, result.Errorf(result.SettingsInvalid, "--metrics-address: %w", err)
-		}
-		go server.Serve(metricsListener)
-	}
+	f.serveMetrics(server)
 	return server, nil
 }
 
+// serveMetrics serves at the metrics address as well, if there is one. An instance does its
+// work without it: the address may be taken, because the platform draws the others.
+func (f *Forwarder) serveMetrics(server *http.Server) {
+	address := f.settings.Load().MetricsAddress
+	if address == "" {
+		return
+	}
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		f.log.Warn().Uint16(logging.Code, uint16(result.SettingsInvalid)).Err(err).Msg("metrics_not_served")
+		return
+	}
+	go server.Serve(listener)
+}
+
 // leave keeps forwarding until the routers send no more packets or the grace period
 // nears its end. Any other instance forwards the flows by their cookies.
 func (f *Forwarder) leave() {
