Take over a silent watch at once in large failure domains

Cause: in a domain of 70 instances a peer counts as alive for 9 s without a message, because turns are long. The killed watcher therefore still stood before its successor in rank, which waited a further 1.15 s. A watcher speaks to every peer each 250 ms, so its silence of 1 s is its loss whatever the size of the domain. Ruled out: pulls in generations (0.4 s of the 2.4 s), rank order (all instances agree). Before: 70 instances in one domain, nobody had the change 2.4 s after the watcher was killed. No earlier test noticed, because other failure domains fed the instances; the new test has one domain.

--- a/mesh/duty.go
+++ b/mesh/duty.go
@@ -50,7 +50,7 @@
 			m.vacant, m.watching = false, false
 			return false
 		}
-		if p.alive(now, m.aliveTime()) {
+		if p.alive(now, m.aliveTime()) && !p.lostWatch(now) {
 			position, someoneFit = position+1, true
 		}
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -73,6 +73,13 @@
 	return m.alive(now, minAliveTime) && m.status.Watching && m.status.ContactAge+now-m.heardAt < fresh
 }
 
+// lostWatch reports whether the member watched when it was last heard and has been silent
+// for too long since: turns of a large failure domain do not explain the silence of a
+// watcher.
+func (m *member) lostWatch(now time.Duration) bool {
+	return m.heard && m.status.Watching && now-m.heardAt >= minAliveTime
+}
+
 // aliveTime returns the silence after which a peer does not count as alive: the turns of
 // a large failure domain take longer.
 func (m *Mesh) aliveTime() time.Duration {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Guards against a watch that nobody takes over: with a single failure domain, no other
+// one feeds it. The bound is that of TestTakeoverInTime.
+func TestTakeoverInSingleDomain(t *testing.T) {
+	for _, size := range []int{2, 9, 70} {
+		n := newNetwork(1, size)
+		n.run(20*time.Second, 5)
+		failed := n.watcher("d0")
+		failed.up = false
+		n.run(2400*time.Millisecond, 6)
+		if n.watchers("d0") == 0 {
+			t.Errorf("%d instances: nobody watches 2.4 s after the watcher was killed", size)
+		}
+		for _, i := range n.instances {
+			if i != failed && i.asOf != 6 {
+				t.Errorf("%d instances: %s has revision %d after 2.4 s", size, i.cfg.Self.ID, i.asOf)
+			}
+		}
+	}
+}
+
 // Guards against a failure domain that stays behind because the store turns away all of
 // its instances, although others are served.
 func TestOtherDomainsFeedOneWithoutStore(t *testing.T) {
