Count peers' loads as they were added; encode pushed changes once

Cause: the rates that a peer stated for a cookie were taken off at its next statement even if the cookie had become known only in between, so that the loads of other peers were reduced (40 instead of 50 requests a second in the test, which fails before). Change: each source keeps which server got which rate.

--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -36,9 +36,18 @@
 	ServiceTime time.Duration // without waiting; 0 without samples
 }
 
+// peerLoads is what a source last stated.
 type peerLoads struct {
-	loads []Load
-	at    time.Duration
+	loads   []Load
+	counted []countedLoad
+	at      time.Duration
+}
+
+// countedLoad is a load as it was added to a server. A cookie may become known, or known
+// at another server, between two statements; what is taken off has to be what was added.
+type countedLoad struct {
+	server *server
+	rate   float64
 }
 
 // meter measures what the own flows cause at a server.
@@ -70,7 +79,7 @@
 	var out []Load
 	for s := range e.active {
 		if rate := s.meter.rate + s.meter.expected; rate > minStatedRate {
-			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: s.measuredTime()})
+			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: time.Duration(s.meter.meanTime())})
 		}
 	}
 	return out
@@ -79,9 +88,9 @@
 // minStatedRate leaves out servers that get next to nothing.
 const minStatedRate = 0.01
 
-func (s *server) measuredTime() time.Duration {
-	return time.Duration(s.meter.quantile * meanOverQuantile)
-}
+// meanTime returns the time of a request as measured here, in nanoseconds; 0 without
+// samples.
+func (m *meter) meanTime() float64 { return m.quantile * meanOverQuantile }
 
 // headSize is the number of servers of a service that a failure domain states to others:
 // enough for the flows that spill over, few enough for 12,000 servers.
@@ -132,27 +141,37 @@
 
 // SetPeerLoads replaces the loads that an instance of the own failure domain states.
 func (e *Engine) SetPeerLoads(now time.Duration, source string, loads []Load) {
-	e.addPeerLoads(e.peerLoads[source].loads, -1)
-	e.addPeerLoads(loads, 1)
-	e.peerLoads[source] = peerLoads{loads, now}
+	p := e.peerLoads[source]
+	subtractLoads(p.counted)
+	e.peerLoads[source] = peerLoads{loads, e.addLoads(p.counted[:0], loads), now}
 }
 
-func (e *Engine) addPeerLoads(loads []Load, sign float64) {
+// addLoads adds a source's loads to the servers and notes them in counted.
+func (e *Engine) addLoads(counted []countedLoad, loads []Load) []countedLoad {
 	for _, l := range loads {
 		for _, s := range e.byCookie[l.Cookie] {
-			s.meter.peerRate = max(s.meter.peerRate+sign*l.Rate, 0)
-			if sign > 0 && l.ServiceTime > 0 {
+			s.meter.peerRate += l.Rate
+			if l.ServiceTime > 0 {
 				s.meter.peerService = float64(l.ServiceTime)
 			}
+			counted = append(counted, countedLoad{s, l.Rate})
 		}
 	}
+	return counted
+}
+
+func subtractLoads(counted []countedLoad) {
+	for _, c := range counted {
+		// Rounding may leave a little less than nothing.
+		c.server.meter.peerRate = max(c.server.meter.peerRate-c.rate, 0)
+	}
 }
 
 // expirePeerLoads drops the loads of sources that are not heard any more.
 func (e *Engine) expirePeerLoads(now time.Duration) {
 	for source, p := range e.peerLoads {
 		if now-p.at > peerLoadLifetime {
-			e.addPeerLoads(p.loads, -1)
+			subtractLoads(p.counted)
 			delete(e.peerLoads, source)
 		}
 	}
@@ -179,7 +198,7 @@
 		s.service.rate += m.rate
 		s.service.flows += s.flows
 		if m.samples >= trustedSamples {
-			s.service.service += m.quantile * meanOverQuantile
+			s.service.service += m.meanTime()
 			s.service.measured++
 		}
 	}
@@ -217,7 +236,7 @@
 // nanoseconds.
 func (s *server) requestTime(now time.Duration) float64 {
 	m := &s.meter
-	t := m.quantile * meanOverQuantile
+	t := m.meanTime()
 	if m.samples < trustedSamples && m.peerService > 0 {
 		t = m.peerService
 	}
--- a/forwarding/load_test.go
+++ b/forwarding/load_test.go
@@ -138,3 +138,17 @@
 		t.Errorf("peer rate %v after the peer was not heard for %v", got, peerLoadLifetime)
 	}
 }
+
+// Guards against loads that are taken off without having been added: a peer may state a
+// cookie before the server's record arrives here, and again after it.
+func TestPeerLoadsOfLateRecords(t *testing.T) {
+	f := newFleet([]float64{1})
+	f.e.SetPeerLoads(0, "other", []Load{{Cookie: 2, Rate: 10}})
+	f.e.SetPeerLoads(0, "peer", []Load{{Cookie: 2, Rate: 100}})
+	f.e.PutServer(0, Server{Name: "1", ID: 2, Service: "orders", Domain: "a", Slots: 2, Revision: 9, Address: netip.MustParseAddrPort("10.0.0.9:80")})
+	f.e.SetPeerLoads(0, "other", []Load{{Cookie: 2, Rate: 10}})
+	f.e.SetPeerLoads(0, "peer", []Load{{Cookie: 2, Rate: 40}})
+	if got := f.e.servers["1"].meter.peerRate; got != 50 {
+		t.Errorf("peer rate %v, want the sum of the last statements, 50", got)
+	}
+}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -156,7 +156,10 @@
 	if len(to) == 0 {
 		return
 	}
-	b := exchange.Append(nil, m)
+	f.sendEncoded(exchange.Append(nil, m), to)
+}
+
+func (f *Forwarder) sendEncoded(b []byte, to []netip.AddrPort) {
 	for _, a := range to {
 		if _, err := f.peers.datagrams.WriteToUDPAddrPort(b, a); err != nil {
 			f.counters.socketErrors.Inc()
@@ -170,11 +173,12 @@
 	m := exchange.Message{Update: f.table.Outgoing(u)}
 	to := f.mesh.AliveDomainPeers(f.now())
 	f.mu.Unlock()
-	if m.Size() > exchange.MaxDatagramBytes {
+	b := exchange.Append(nil, &m)
+	if len(b) > exchange.MaxDatagramBytes {
 		f.sendStatus() // the peers pull
 		return
 	}
-	f.sendDatagram(&m, to)
+	f.sendEncoded(b, to)
 }
 
 // tellSuspect passes evidence against a server to the own failure domain.
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -84,9 +84,6 @@
 	return b
 }
 
-// Size returns the size of the encoded message.
-func (m *Message) Size() int { return len(Append(nil, m)) }
-
 func appendBytes(b []byte, field protowire.Number, v []byte) []byte {
 	b = protowire.AppendTag(b, field, protowire.BytesType)
 	return protowire.AppendBytes(b, v)
