Limit the new flows of a source prefix at the forwarder

Ruled out: a limit of half-open flows only (a flood that completes its handshakes passes it); a silent drop (the client is known to be unservable now, so it is told at once). Change: admission.PrefixLimiter, which monsoonthreadd uses, in the engine; 2,000 new flows a second from one /24 and twice as many at once (--new-flows-per-prefix), further ones are reset with reason prefix_limited. Repeated opening packets and open flows are not counted. Before and after: testdata/flood: 1,000 of 3,000 flows of the flooding prefix are taken and clients of other prefixes served; before all 3,000 were.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"github.com/monsoonthread/monsoonthread/admission"
 )
 
 const (
@@ -16,6 +18,11 @@
 	// expiryBatch bounds the flows looked at per tick, so that a tick stays short with
 	// a full table.
 	expiryBatch = 2000
+	// prefixBurst is the number of seconds for which a source prefix may save up new flows:
+	// after a failure all of its clients open flows again at once.
+	prefixBurst = 2
+	// prefixEntries bounds the table of source prefixes to 32 KB.
+	prefixEntries = 2048
 	// forgetInterval is the time between passes over servers that left.
 	forgetInterval = 10 * time.Second
 )
@@ -25,7 +32,10 @@
 	Domain         string        // own failure domain
 	CookieLifetime time.Duration // how long a server that left stays known
 	MaxFlows       int           // flows beyond this number are forwarded without evidence
-	Seed           uint64
+	// NewFlowsPerPrefix limits the new flows per second from one source prefix, with a burst
+	// of twice as many; 0 for no limit.
+	NewFlowsPerPrefix int
+	Seed              uint64
 }
 
 // Engine holds the state of one instance.
@@ -54,6 +64,8 @@
 	handshake float64 // usual time of a handshake in nanoseconds
 	nextRates time.Duration
 
+	prefixes *admission.PrefixLimiter // nil without a limit
+
 	lastQuick   time.Duration // last quick answer of any server
 	quickServer *server
 	otherQuick  time.Duration // last quick answer of a server other than quickServer
@@ -69,7 +81,7 @@
 
 // New returns an engine without configuration.
 func New(cfg Config) *Engine {
-	return &Engine{
+	e := &Engine{
 		cfg:         cfg,
 		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		idleTimeout: defaultIdleTimeout,
@@ -86,8 +98,15 @@
 		peerLoads:   make(map[string]peerLoads),
 		handshake:   float64(priorHandshake),
 	}
+	if n := cfg.NewFlowsPerPrefix; n > 0 {
+		e.prefixes = admission.NewPrefixLimiter(float64(n), prefixBurst*n, prefixEntries, cfg.Seed, instant(0))
+	}
+	return e
 }
 
+// instant converts an engine's time for packages that use time.Time.
+func instant(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
+
 // Packet decides on a client's packet. raw is the packet itself; the engine keeps a copy
 // of an opening packet so that it can be sent to another server.
 func (e *Engine) Packet(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
@@ -112,6 +131,11 @@
 		}
 		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
 	}
+	if e.prefixes != nil {
+		if ok, _ := e.prefixes.Allow(instant(now), p.Flow.ClientAddr()); !ok {
+			return Decision{Verdict: ResetFlow, Reason: PrefixLimited}, nil
+		}
+	}
 	actions := e.suspectRefusals(now, p.Flow)
 	s := e.choose(now, r)
 	if s == nil {
--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -20,7 +21,7 @@
 }
 
 func newScript() *script {
-	return &script{e: New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 1000, Seed: 1})}
+	return &script{e: New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 1000, NewFlowsPerPrefix: 500, Seed: 1})}
 }
 
 // Guards against wrong decisions about single packets, servers and flows; each file
@@ -61,6 +62,8 @@
 		s.actions(s.e.RemoveServer(s.now, s.server(t, args)))
 	case "packet":
 		s.packet(t, args)
+	case "flood":
+		s.flood(t, args)
 	case "probed":
 		s.probed(args)
 	case "suspect":
@@ -97,6 +100,20 @@
 	}
 }
 
+// flood opens flows from ports 1001 on and counts the decisions.
+func (s *script) flood(t *testing.T, args map[string]string) {
+	counts := make(map[string]int)
+	for i := range number(t, args["flows"]) {
+		k := FlowKey{Client: uint32(number(t, args["prefix"]))<<8 + uint32(i%200), ClientPort: uint16(1001 + i), Service: 10, ServicePort: 443}
+		d, actions := s.e.Packet(s.now, Packet{Flow: k, Open: true}, []byte("raw"))
+		counts[d.Reason.String()]++
+		s.actions(actions)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		s.printf("%d %s\n", counts[reason], reason)
+	}
+}
+
 // configure takes route=PORT:KIND:SERVICE[,SERVICE...] with equal weights.
 func (s *script) configure(t *testing.T, args map[string]string) {
 	c := Configuration{Version: number(t, args["version"]), HealthPaths: map[string]string{"orders": "/health"}}
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -69,12 +69,13 @@
 	ServerDead                  // the flow's server is proven dead
 	NotServing                  // the instance has no configuration yet
 	OtherService                // the cookie names a server of a service that the route never had
+	PrefixLimited               // too many new flows from the client's source prefix
 
 	// NumReasons is the number of reasons.
 	NumReasons
 )
 
-var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service"}
+var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -90,10 +90,11 @@
 		store:       kv.New(s.StoreAddress, storeTimeout),
 		events:      newEventLog(log),
 		engine: forwarding.New(forwarding.Config{
-			Domain:         s.FailureDomain,
-			CookieLifetime: 2 * s.MaxFlowLifetime,
-			MaxFlows:       s.MaxFlows(),
-			Seed:           rand.Uint64(),
+			Domain:            s.FailureDomain,
+			CookieLifetime:    2 * s.MaxFlowLifetime,
+			MaxFlows:          s.MaxFlows(),
+			NewFlowsPerPrefix: s.NewFlowsPerPrefix,
+			Seed:              rand.Uint64(),
 		}),
 		table: directory.NewTable(2 * s.MaxFlowLifetime),
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -89,7 +89,7 @@
 	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, d.ports[i]) }
 	s := Settings{
 		InstanceID: name, FailureDomain: domain, MetricsAddress: at(1), DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
-		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, MaxFlowLifetime: time.Minute,
+		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, NewFlowsPerPrefix: defaultNewFlowsPerPrefix, MaxFlowLifetime: time.Minute,
 		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, LogLevel: "info",
 	}
 	if err := s.Check(); err != nil {
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -30,6 +30,7 @@
 	Seeds              string
 	StoreAddress       string
 	MemoryMB           int
+	NewFlowsPerPrefix  int
 	MaxFlowLifetime    time.Duration
 	GracePeriod        time.Duration
 	ConfigurationBound time.Duration
@@ -37,6 +38,10 @@
 	LogLevel           string
 }
 
+// defaultNewFlowsPerPrefix is 20 times the mean of an instance at the target (110,000 new
+// flows a second at 1,300 instances), because the clients of a site may share a prefix.
+const defaultNewFlowsPerPrefix = 2000
+
 // AddFlags registers the settings as flags.
 func (s *Settings) AddFlags(f *pflag.FlagSet) {
 	f.StringVar(&s.InstanceID, "instance-id", "", "ID of this entry instance, unique in the deployment")
@@ -48,6 +53,7 @@
 	f.StringVar(&s.Seeds, "seeds", "", "comma-separated ip:port of instances that may know the others; the port is replaced by that of --peer-address")
 	f.StringVar(&s.StoreAddress, "store-address", "", "ip:port of the platform's store")
 	f.IntVar(&s.MemoryMB, "memory-mb", 256, "memory that the process may use, in MB; bounds the flow table")
+	f.IntVar(&s.NewFlowsPerPrefix, "new-flows-per-prefix", defaultNewFlowsPerPrefix, "new flows a second from one /24 prefix, with a burst of twice as many; further ones are reset")
 	f.DurationVar(&s.MaxFlowLifetime, "max-flow-lifetime", time.Minute, "longest lifetime of a flow; servers that left stay known for twice this time")
 	f.DurationVar(&s.GracePeriod, "grace-period", 6*time.Second, "time between SIGTERM and SIGKILL")
 	f.DurationVar(&s.ConfigurationBound, "configuration-bound", 3*time.Second, "time in which an accepted configuration must be in force")
@@ -116,6 +122,9 @@
 	if s.MemoryMB < 16 || s.MemoryMB > 1<<20 {
 		bad("memory-mb", "%d must be from 16 to %d", s.MemoryMB, 1<<20)
 	}
+	if s.NewFlowsPerPrefix < 1 || s.NewFlowsPerPrefix > 1_000_000 {
+		bad("new-flows-per-prefix", "%d must be from 1 to 1000000", s.NewFlowsPerPrefix)
+	}
 	for _, d := range []struct {
 		name  string
 		value time.Duration
