Give servers whose requests fail fewer new flows

Ruled out: the probe (it answers), records (neither state nor born changes while it flaps), rejection by the server (its 1,280 resets reach the client only). Change: package forwarding counts a request without progress for 500 ms as failed and tells the own failure domain, which sees the rest of the server's requests. From two failures, 5% of the requests and three times the mean of the service's other servers on, a server is taken to be up to five times as busy. Nothing is excluded, so that the others are not overrun; failures that all share penalise nobody; the weight halves in 5 s, so that flapping adds up and the return is gradual.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -58,6 +58,10 @@
 	busy         map[*server]struct{} // servers with requests under way
 	doubted      map[*server]struct{} // servers that are not trusted
 	active       map[*server]struct{} // servers with a rate of requests
+	failed       map[*server]struct{} // servers at which requests failed lately
+	untold       []uint32             // cookies of failures that peers do not know yet
+	tickedAt     time.Duration
+	runsSince    time.Duration // since when no pause between two ticks was long
 	byAddress    map[netip.AddrPort][]*server
 
 	peerLoads map[string]peerLoads
@@ -94,6 +98,7 @@
 		busy:        make(map[*server]struct{}),
 		doubted:     make(map[*server]struct{}),
 		active:      make(map[*server]struct{}),
+		failed:      make(map[*server]struct{}),
 		byAddress:   make(map[netip.AddrPort][]*server),
 		peerLoads:   make(map[string]peerLoads),
 		handshake:   float64(priorHandshake),
@@ -228,6 +233,10 @@
 
 // Tick does what time alone brings about. It is due about every 50 ms.
 func (e *Engine) Tick(now time.Duration) []Action {
+	if now-e.tickedAt > runGap {
+		e.runsSince = now
+	}
+	e.tickedAt = now
 	actions := append(e.checkPending(now), e.checkSilence(now)...)
 	for s := range e.doubted {
 		v := &s.evidence
@@ -237,7 +246,7 @@
 	}
 	e.expire(now)
 	e.expirePeerLoads(now)
-	e.measureRates(now)
+	actions = append(actions, e.measureRates(now)...)
 	if now >= e.nextForget {
 		e.nextForget = now + forgetInterval
 		e.forgetServers(now)
@@ -266,8 +275,8 @@
 
 // Stats are figures for metrics.
 type Stats struct {
-	Flows, Waiting, Listed, Usable int
-	Version                        uint64
+	Flows, Waiting, Listed, Usable, Failing int
+	Version                                 uint64
 }
 
 // Stats returns the present figures.
@@ -281,6 +290,9 @@
 		if s.usable() {
 			out.Usable++
 		}
+		if s.failures.told {
+			out.Failing++
+		}
 	}
 	return out
 }
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -25,6 +25,7 @@
 	state   flowState
 	kind    Kind
 	waiting bool // a request is under way
+	overdue bool // that request counts as failed
 }
 
 func millis(d time.Duration) uint32    { return uint32(d / time.Millisecond) }
@@ -106,7 +107,7 @@
 		f.seq = end
 		if !f.waiting && f.state == open {
 			e.setWaiting(now, f, true)
-			f.sentAt = millis(now)
+			f.sentAt, f.overdue = millis(now), false
 			e.countRequest(f.server)
 		}
 		return nil
@@ -119,7 +120,7 @@
 	return nil
 }
 
-// expire forgets flows that are idle or finished. A map's iteration starts at random,
+// expire forgets flows that are idle or finished and notes requests without progress. A map's iteration starts at random,
 // so that a bounded pass reaches all flows in time.
 func (e *Engine) expire(now time.Duration) {
 	n := 0
@@ -127,6 +128,7 @@
 		if n++; n > expiryBatch {
 			return
 		}
+		e.checkOverdue(now, f)
 		limit := e.idleTimeout
 		if f.state == closing {
 			limit = closingLifetime
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -177,10 +177,10 @@
 	}
 }
 
-// measureRates updates the rates of requests once per interval.
-func (e *Engine) measureRates(now time.Duration) {
+// measureRates updates the rates of requests and failures once per interval.
+func (e *Engine) measureRates(now time.Duration) []Action {
 	if now < e.nextRates {
-		return
+		return nil
 	}
 	e.nextRates = now + rateInterval
 	for _, s := range e.services {
@@ -202,6 +202,7 @@
 			s.service.measured++
 		}
 	}
+	return e.sumFailures(now)
 }
 
 // countRequest counts a request at a server.
@@ -250,9 +251,9 @@
 }
 
 // utilization estimates the share of the server's slots that is busy once it has one
-// more flow.
+// more flow, and takes a failing server to be busier than it is.
 func (s *server) utilization(now time.Duration) float64 {
 	m := &s.meter
 	rate := m.rate + m.expected + m.peerRate + s.service.flowRate()
-	return rate * s.requestTime(now) / float64(time.Second) / float64(s.Slots)
+	return rate * s.requestTime(now) / float64(time.Second) / float64(s.Slots) * s.failurePenalty(now)
 }
--- a/forwarding/load_test.go
+++ b/forwarding/load_test.go
@@ -19,6 +19,10 @@
 	flows  []simFlow
 	rng    *rand.Rand
 	port   uint16
+	// mute reports whether a server gives no answer to a request made now.
+	mute func(server int, now time.Duration) bool
+	sent []int // requests in the measured span
+	lost int   // of these, without an answer
 }
 
 type simFlow struct {
@@ -29,12 +33,14 @@
 	next   time.Duration
 	answer time.Duration // of the request under way; 0 if none
 	left   int
+	lost   bool // the request under way gets no answer
 }
 
 func newFleet(speeds []float64) *fleet {
 	f := &fleet{
 		e: New(Config{Domain: "a", CookieLifetime: time.Minute, MaxFlows: 10000, Seed: 3}), speeds: speeds,
 		work: make([]time.Duration, len(speeds)), queued: make([]time.Duration, len(speeds)), rng: rand.New(rand.NewPCG(1, 2)),
+		sent: make([]int, len(speeds)), mute: func(int, time.Duration) bool { return false },
 	}
 	f.e.Configure(0, &Configuration{Version: 1, Routes: []Route{{Address: 10, Port: 443, Services: []ServiceWeight{{"orders", 1}}}}})
 	for i := range speeds {
@@ -44,6 +50,9 @@
 	return f
 }
 
+// giveUp is the deadline of a request.
+const giveUp = 1500 * time.Millisecond
+
 // run lets users make requests: each flow carries some, with pauses, then another flow
 // follows. It returns the share of requests that took longer than a limit.
 func (f *fleet) run(users int, pause, span, limit time.Duration) float64 {
@@ -56,6 +65,9 @@
 		for i := range f.flows {
 			u := &f.flows[i]
 			switch {
+			case u.answer != 0 && now >= u.answer && u.lost:
+				// The client gives up and closes the flow.
+				u.answer, u.left, u.lost = 0, 0, false
 			case u.answer != 0 && now >= u.answer:
 				u.ack += 2000
 				f.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack}, nil)
@@ -66,6 +78,10 @@
 					if all++; took > limit {
 						late++
 					}
+					f.sent[u.cookie-1]++
+					if u.lost {
+						f.lost++
+					}
 				}
 			}
 		}
@@ -89,6 +105,10 @@
 	f.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack, Length: 100}, nil)
 	u.seq += 100
 	s := int(u.cookie) - 1
+	if u.lost = f.mute(s, now); u.lost {
+		u.answer = now + giveUp
+		return giveUp
+	}
 	// Two slots in turn, each half of the queue.
 	work := time.Duration(float64(22*time.Millisecond) * (0.5 + f.rng.Float64()) / f.speeds[s])
 	f.work[s] += work
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -104,6 +104,8 @@
 	SendPacket                   // send Packet, a kept opening packet, to Target
 	TellPeers                    // tell the failure domain that Server looks dead
 	Probe                        // ask at Target for Server and report the outcome
+	Disfavour                    // log that Server gets fewer new flows because its requests fail
+	Favour                       // log that Server gets its share of new flows again
 )
 
 // Action is something that the engine wants done outside a packet's own decision.
@@ -116,4 +118,5 @@
 	Server   string // name of the server
 	Path     string // of the health call that tells who answers
 	Reason   Reason
+	Failures float64 // weight of the failed requests, for Disfavour and Favour
 }
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -36,6 +36,7 @@
 	heads         []*server // that other domains offer
 
 	// Sums over the servers, taken once per interval.
+	failures float64 // weight of the failed requests
 	rate     float64 // requests per second of the own flows
 	flows    int32
 	service  float64 // request times of the measured servers, in nanoseconds
@@ -59,6 +60,7 @@
 	waitingFrom time.Duration // since when at least one is
 
 	evidence evidence
+	failures failures // kept over restarts: a server that flaps restarts often
 }
 
 func (s *server) target() Target { return Target{Address: s.Address, ID: s.ID, Cookie: s.cookie} }
@@ -229,6 +231,7 @@
 	delete(e.servers, name)
 	delete(e.doubted, s)
 	delete(e.active, s)
+	delete(e.failed, s)
 	s.service.drop(s)
 	if e.byCookie[s.cookie] = remove(e.byCookie[s.cookie], s); len(e.byCookie[s.cookie]) == 0 {
 		delete(e.byCookie, s.cookie)
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -74,13 +74,16 @@
 		return
 	}
 	e.Str(logging.Server, a.Server)
+	if a.Kind >= forwarding.Disfavour {
+		e.Float64("failures", a.Failures)
+	}
 	if a.Kind < forwarding.TellPeers {
 		e.Stringer("flow", a.Flow).Stringer(logging.Reason, a.Reason)
 	}
 	e.Msg(actionNames[a.Kind])
 }
 
-var actionNames = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected"}
+var actionNames = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected", "server_disfavoured", "server_favoured"}
 
 func (l *eventLog) probed(server string, outcome forwarding.ProbeOutcome, stalled bool, took time.Duration, err error) {
 	e := l.line(zerolog.InfoLevel)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -50,6 +50,7 @@
 	gauge("forwarder_configuration_version", func(s forwarding.Stats) float64 { return float64(s.Version) })
 	gauge("forwarder_servers{state=\"usable\"}", func(s forwarding.Stats) float64 { return float64(s.Usable) })
 	gauge("forwarder_servers{state=\"listed\"}", func(s forwarding.Stats) float64 { return float64(s.Listed) })
+	gauge("forwarder_servers{state=\"failing\"}", func(s forwarding.Stats) float64 { return float64(s.Failing) })
 	set.NewGauge("forwarder_records_revision", func() float64 {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -88,6 +88,7 @@
 	for _, cookie := range m.Suspects {
 		actions = append(actions, f.engine.Suspect(now, cookie)...)
 	}
+	f.engine.PeerFailures(now, m.Failures)
 	f.mu.Unlock()
 	f.perform(actions)
 	if len(m.Update.Records) > 0 {
@@ -146,7 +147,13 @@
 		foreign = f.mesh.ForeignPeers(now)
 		abroad.Heads = []exchange.DomainHeads{{Domain: f.self.Domain, Loads: f.engine.DomainHeads(now)}}
 	}
+	failures := f.engine.TakeFailures()
+	var domain []netip.AddrPort
+	if len(failures) > 0 {
+		domain = f.mesh.AliveDomainPeers(now)
+	}
 	f.mu.Unlock()
+	f.sendDatagram(&exchange.Message{Failures: failures}, domain)
 	f.sendDatagram(&m, full)
 	f.sendDatagram(&exchange.Message{Status: &status}, bare)
 	f.sendDatagram(&abroad, foreign)
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -44,6 +44,7 @@
 	Members []mesh.Peer
 
 	Suspects []uint32 // cookies of servers that look dead to the sender
+	Failures []uint32 // cookies of servers at which requests of the sender's flows failed
 }
 
 // Field numbers of a message.
@@ -56,6 +57,7 @@
 	fieldAsOf    = 6
 	fieldMember  = 7
 	fieldSuspect = 8
+	fieldFailure = 9
 )
 
 // Append appends the encoded message to b.
@@ -77,8 +79,13 @@
 	for i := range m.Members {
 		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
 	}
-	for _, cookie := range m.Suspects {
-		b = protowire.AppendTag(b, fieldSuspect, protowire.VarintType)
+	b = appendCookies(b, fieldSuspect, m.Suspects)
+	return appendCookies(b, fieldFailure, m.Failures)
+}
+
+func appendCookies(b []byte, field protowire.Number, cookies []uint32) []byte {
+	for _, cookie := range cookies {
+		b = protowire.AppendTag(b, field, protowire.VarintType)
 		b = protowire.AppendVarint(b, uint64(cookie))
 	}
 	return b
@@ -178,6 +185,8 @@
 			m.Update.AsOf = number
 		case fieldSuspect:
 			m.Suspects = append(m.Suspects, uint32(number))
+		case fieldFailure:
+			m.Failures = append(m.Failures, uint32(number))
 		case fieldMember:
 			var p mesh.Peer
 			if err := decodePeer(bytes, &p); err != nil {
--- a/peer/exchange/exchange_test.go
+++ b/peer/exchange/exchange_test.go
@@ -27,7 +27,7 @@
 			{Key: "servers/i-1", Value: []byte{0, 255}, Revision: 10},
 			{Key: "servers/i-2", Value: []byte{}, Revision: 11, Removed: true},
 		}},
-		Members: []mesh.Peer{peer}, Suspects: []uint32{5, 0xffffffff},
+		Members: []mesh.Peer{peer}, Suspects: []uint32{5, 0xffffffff}, Failures: []uint32{5, 5, 7},
 	}
 }
 
