Take a server's silence for its own only beside an answered control connection

Cause: while instances pulled 1,640 new routes over links of 2 Mbit/s, answers took 60 to 120 ms. A probe gives up after 60 ms, so that 19 working servers looked silent within half a second, and an answer within 100 ms counted as proof that the link works: the same slow link was both. Ruled out: refused connections and reused addresses (the logs show none for these servers); failing servers (they only weigh); a share of silent servers as criterion (8 of 40 in use). Change: an answer proves the link only if it is no slower than a probe's patience allows, for 100 ms; and the later silent probes, which lead to resets, open a control connection to a trusted server at the same moment, over the same link. Silence counts only if that one is made in 30 ms.

--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -177,7 +177,11 @@
 	outcomes := []string{"answered", "refused", "silent", "mute", "other"}
 	elapsed := 2 * time.Millisecond
 	_, stalled := args["stalled"]
-	s.actions(s.e.Probed(s.now, args["id"], ProbeOutcome(slices.Index(outcomes, args["outcome"])), elapsed, stalled))
+	controls := []string{"", "answered", "late"}
+	s.actions(s.e.Probed(s.now, args["id"], ProbeResult{
+		Outcome: ProbeOutcome(slices.Index(outcomes, args["outcome"])), Elapsed: elapsed, Stalled: stalled,
+		Control: ControlOutcome(slices.Index(controls, args["control"])),
+	}))
 }
 
 func (s *script) actions(actions []Action) {
@@ -197,7 +201,11 @@
 		case TellPeers:
 			s.printf("%v tell peers %s\n", s.now, a.Server)
 		case Probe:
-			s.printf("%v probe %s\n", s.now, a.Server)
+			s.printf("%v probe %s", s.now, a.Server)
+			if a.Control.ID != 0 {
+				s.printf(" control %d", a.Control.ID)
+			}
+			s.printf("\n")
 		}
 	}
 }
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -31,11 +31,6 @@
 	// resetRepeats is the number of packets that clients sent again without any progress
 	// of the server: an idle server that no probe reaches may still serve.
 	resetRepeats = 2
-	// linkProofAge is the age up to which a quick answer of another server shows that the
-	// instance's own link works; quickAnswer is longer than most requests and shorter
-	// than the queue of a link that is full.
-	linkProofAge = 150 * time.Millisecond
-	quickAnswer  = 100 * time.Millisecond
 	// lastResortProbes is the number of silent probes up to which an unreachable server
 	// still gets new flows if there is no other.
 	lastResortProbes = 2 * silentProbes
@@ -69,6 +64,8 @@
 	lastProgress time.Duration // last sign of life on any flow
 	nextProbe    time.Duration
 	nextSuspect  time.Duration
+	unproven     bool          // the last silence may have been that of the own link
+	provenAt     time.Duration // last silence that was the server's own
 	answers      int           // probes in a row that were answered
 	answeredAt   time.Duration // the last of them
 }
@@ -101,17 +98,7 @@
 	if s.evidence.state == suspected {
 		e.setState(s, trusted)
 	}
-	if elapsed <= quickAnswer {
-		e.noteQuick(now, s)
-	}
-}
-
-// noteQuick notes an answer that shows that the instance's own link works.
-func (e *Engine) noteQuick(now time.Duration, s *server) {
-	if e.quickServer != s {
-		e.quickServer, e.otherQuick = s, e.lastQuick
-	}
-	e.lastQuick = now
+	e.noteAnswer(now, s, elapsed)
 }
 
 // progressedAfter reports a sign of life after a time in milliseconds. One in the same
@@ -168,32 +155,44 @@
 }
 
 func (e *Engine) probe(s *server) []Action {
-	s.evidence.probing = true
-	return []Action{{Kind: Probe, Target: s.target(), Server: s.Name, Path: s.service.healthPath}}
+	v := &s.evidence
+	v.probing = true
+	a := Action{Kind: Probe, Target: s.target(), Server: s.Name, Path: s.service.healthPath}
+	if v.state == unreachable || v.unproven {
+		a.Control = e.controlFor(s)
+	}
+	return []Action{a}
 }
 
-// Probed applies the outcome of a probe. stalled says that the process itself did not
-// run for a part of the time, so that silence proves nothing.
-func (e *Engine) Probed(now time.Duration, name string, outcome ProbeOutcome, elapsed time.Duration, stalled bool) []Action {
+// ProbeResult is what came of a probe.
+type ProbeResult struct {
+	Outcome ProbeOutcome
+	Elapsed time.Duration
+	Stalled bool // the process did not run for a part of the time, so that silence proves nothing
+	Control ControlOutcome
+}
+
+// Probed applies the outcome of a probe.
+func (e *Engine) Probed(now time.Duration, name string, r ProbeResult) []Action {
 	s := e.servers[name]
 	if s == nil {
 		return nil
 	}
 	v := &s.evidence
 	v.probing = false
-	switch outcome {
+	switch r.Outcome {
 	case Answered, Mute:
 		// A server that accepts connections but is slow to answer may be busy.
 		if !v.replaced {
 			e.setState(s, trusted)
-			v.silent, v.nextSuspect = 0, now+suspectAgain
+			v.silent, v.unproven, v.nextSuspect = 0, false, now+suspectAgain
 			if now-v.answeredAt > suspectCalm {
 				v.answers = 0
 			}
 			v.answers, v.answeredAt = min(v.answers+1, maxSuspectDoubling), now
 		}
-		if outcome == Answered && elapsed <= quickAnswer {
-			e.noteQuick(now, s)
+		if r.Outcome == Answered {
+			e.noteAnswer(now, s, r.Elapsed)
 		}
 		return nil
 	case Refused, OtherServer:
@@ -203,11 +202,12 @@
 	if v.state == dead || v.state == trusted {
 		return nil
 	}
-	if stalled || !e.linkWorks(now, s) {
+	if v.unproven = r.Stalled || !e.silenceProven(now, s, r.Control); v.unproven {
 		v.nextProbe = now + unprovenAgain
 		return nil
 	}
 	v.silent++
+	v.provenAt = now
 	return e.silentProbe(now, s)
 }
 
@@ -232,17 +232,7 @@
 func (e *Engine) certainlyUnreachable(now time.Duration, s *server) bool {
 	v := &s.evidence
 	return v.state == unreachable && v.silent >= silentProbes && v.repeats >= resetRepeats &&
-		now-v.lastProgress >= resetUnreachableAfter && e.linkWorks(now, s)
-}
-
-// linkWorks reports whether another server answered quickly just now. Without that, the
-// silence of a server may be that of the instance's own link.
-func (e *Engine) linkWorks(now time.Duration, s *server) bool {
-	last := e.lastQuick
-	if e.quickServer == s {
-		last = e.otherQuick
-	}
-	return now-last <= linkProofAge
+		now-v.lastProgress >= resetUnreachableAfter && now-v.provenAt <= provenAge
 }
 
 // declareDead moves waiting opening packets to other servers and resets all flows.
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -117,6 +117,7 @@
 	Target   Target
 	Server   string // name of the server
 	Path     string // of the health call that tells who answers
+	Control  Target // of a Probe: connect there at the same time, if it has an address
 	Reason   Reason
 	Failures float64 // weight of the failed requests, for Disfavour and Favour
 }
--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -17,12 +17,13 @@
 	owner    map[FlowKey]uint32 // cookie of the server at which the flow opened
 	progress map[uint32]time.Duration
 	probed   map[string]ProbeOutcome // last outcome for each server
+	silences map[string]int          // silent probes with an answer of the control server
 }
 
 func newWorld() *world {
 	w := &world{
 		e:     New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 200, Seed: 7}),
-		owner: make(map[FlowKey]uint32), progress: make(map[uint32]time.Duration), probed: make(map[string]ProbeOutcome),
+		owner: make(map[FlowKey]uint32), progress: make(map[uint32]time.Duration), probed: make(map[string]ProbeOutcome), silences: make(map[string]int),
 	}
 	w.configure()
 	return w
@@ -80,7 +81,14 @@
 	case 2:
 		outcome := ProbeOutcome(rapid.IntRange(0, 4).Draw(t, "outcome"))
 		w.probed[serverName(n)] = outcome
-		w.checkActions(t, w.e.Probed(w.now, serverName(n), outcome, time.Millisecond, false))
+		control := ControlOutcome(rapid.IntRange(0, 2).Draw(t, "control"))
+		switch {
+		case outcome == Silent && control == ControlAnswered:
+			w.silences[serverName(n)]++
+		case outcome != Silent:
+			w.silences[serverName(n)] = 0
+		}
+		w.checkActions(t, w.e.Probed(w.now, serverName(n), ProbeResult{Outcome: outcome, Elapsed: time.Millisecond, Control: control}))
 	case 3:
 		w.configure()
 	case 4, 5:
@@ -164,7 +172,8 @@
 		return
 	}
 	silentFor := w.now - w.progress[cookie]
-	if probed && outcome == Silent && s.evidence.silent >= silentProbes && s.evidence.repeats >= resetRepeats && silentFor >= resetUnreachableAfter {
+	// The first silence may be proven by other servers' answers.
+	if probed && outcome == Silent && w.silences[s.Name] >= silentProbes-1 && s.evidence.silent >= silentProbes && s.evidence.repeats >= resetRepeats && silentFor >= resetUnreachableAfter {
 		return
 	}
 	t.Fatalf("reset of a flow at %s: probe %v, state %v, silent for %v", s.Name, outcome, s.evidence.state, silentFor)
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
@@ -85,16 +84,19 @@
 
 var actionNames = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected", "server_disfavoured", "server_favoured"}
 
-func (l *eventLog) probed(server string, outcome forwarding.ProbeOutcome, stalled bool, took time.Duration, err error) {
+func (l *eventLog) probed(server string, r forwarding.ProbeResult, err error) {
 	e := l.line(zerolog.InfoLevel)
 	if e == nil {
 		return
 	}
-	e.Str(logging.Server, server).Str("outcome", outcomeNames[outcome]).Bool("stalled", stalled).Dur(logging.Duration, took).Err(err).Msg("server_probed")
+	e.Str(logging.Server, server).Str("outcome", outcomeNames[r.Outcome]).Str("control", controlNames[r.Control]).Bool("stalled", r.Stalled).
+		Dur(logging.Duration, r.Elapsed).Err(err).Msg("server_probed")
 }
 
 var outcomeNames = [...]string{"answered", "refused", "silent", "mute", "other_server"}
 
+var controlNames = [...]string{"none", "answered", "late"}
+
 func (l *eventLog) malformed(from netip.AddrPort, err error) {
 	if e := l.line(zerolog.WarnLevel); e != nil {
 		e.Stringer(logging.Caller, from).Uint16(logging.Code, errorCode(err)).Err(err).Msg("packet_malformed")
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -102,21 +102,38 @@
 	default:
 		// Without a free slot the probe counts as one that was held up.
 		f.mu.Lock()
-		f.engine.Probed(started, a.Server, forwarding.Silent, 0, true)
+		f.engine.Probed(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.Silent, Stalled: true})
 		f.mu.Unlock()
 		return
 	}
+	control := make(chan forwarding.ControlOutcome, 1)
+	go func() { control <- checkControl(a.Control) }()
 	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
 	f.counters.probes[outcome].Inc()
 	now := f.now()
-	// A timer that fires late means that the process did not run.
-	stalled := outcome == forwarding.Silent && now-started > health.ConnectTimeout+health.ConnectTimeout/2
+	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started}
+	if outcome == forwarding.Silent {
+		r.Control = <-control
+		// A timer that fires late means that the process did not run.
+		r.Stalled = r.Elapsed > health.ConnectTimeout+health.ConnectTimeout/2
+	}
 	f.mu.Lock()
-	actions := f.engine.Probed(now, a.Server, outcome, now-started, stalled)
+	actions := f.engine.Probed(now, a.Server, r)
 	f.mu.Unlock()
-	f.events.probed(a.Server, outcome, stalled, now-started, err)
+	f.events.probed(a.Server, r, err)
 	f.perform(actions)
 }
 
+// checkControl connects to a control server, if there is one.
+func checkControl(t forwarding.Target) forwarding.ControlOutcome {
+	if !t.Address.IsValid() {
+		return forwarding.NoControl
+	}
+	if health.ConnectsWithin(t.Address, health.ConnectTimeout/2) {
+		return forwarding.ControlAnswered
+	}
+	return forwarding.ControlLate
+}
+
 // errorCode returns the number for log lines.
 func errorCode(err error) uint16 { return uint16(result.CodeOf(err)) }
