Compare placements in one run and detect failing servers within 2 s

Cause: with a least share of failures of 5%, a server that answers 60% of its requests was taken for failing after up to 2.25 s, a flapping one after 3.5 s, because the share is taken over the requests of the last 7 s. Ruled out: the 500 ms until a request counts and the 250 ms between messages, which are 0.75 s of it.

--- a/forwarding/load_test.go
+++ b/forwarding/load_test.go
@@ -13,19 +13,25 @@
 // at their server.
 type fleet struct {
 	e      *Engine
+	all    []*Engine // e and, with several instances, the others
 	speeds []float64
 	work   []time.Duration // done in the measured span
 	queued []time.Duration // time at which the server's slots are free again, summed
 	flows  []simFlow
 	rng    *rand.Rand
-	port   uint16
+	port   uint32
 	// mute reports whether a server gives no answer to a request made now.
 	mute func(server int, now time.Duration) bool
-	sent []int // requests in the measured span
-	lost int   // of these, without an answer
+	sent []int                   // requests in the measured span
+	lost int                     // of these, without an answer
+	took []time.Duration         // response times in the measured span
+	each func(now time.Duration) // is called with each tick, if it is set
+	// place names the server of a new flow in place of the engine, if it is set.
+	place func(*Engine) int
 }
 
 type simFlow struct {
+	e      *Engine // instance that forwards the flow
 	key    FlowKey
 	cookie uint32
 	seq    uint32
@@ -36,20 +42,46 @@
 	lost   bool // the request under way gets no answer
 }
 
-func newFleet(speeds []float64) *fleet {
+func newFleet(speeds []float64) *fleet { return newFleetOf(1, speeds) }
+
+// newFleetOf returns a fleet whose flows are spread over some instances. These state
+// their loads to each other as often as the daemon does.
+func newFleetOf(instances int, speeds []float64) *fleet {
 	f := &fleet{
-		e: New(Config{Domain: "a", CookieLifetime: time.Minute, MaxFlows: 10000, Seed: 3}), speeds: speeds,
-		work: make([]time.Duration, len(speeds)), queued: make([]time.Duration, len(speeds)), rng: rand.New(rand.NewPCG(1, 2)),
+		speeds: speeds,
+		work:   make([]time.Duration, len(speeds)), queued: make([]time.Duration, len(speeds)), rng: rand.New(rand.NewPCG(1, 2)),
 		sent: make([]int, len(speeds)), mute: func(int, time.Duration) bool { return false },
 	}
-	f.e.Configure(0, &Configuration{Version: 1, Routes: []Route{{Address: 10, Port: 443, Services: []ServiceWeight{{"orders", 1}}}}})
-	for i := range speeds {
-		f.e.PutServer(0, Server{Name: fmt.Sprint(i), ID: uint64(i + 1), Service: "orders", Domain: "a", Slots: 2, Revision: uint64(i + 1),
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)})
+	for n := range instances {
+		e := New(Config{Domain: "a", CookieLifetime: time.Minute, MaxFlows: 100000, Seed: uint64(3 + n)})
+		e.Configure(0, &Configuration{Version: 1, Routes: []Route{{Address: 10, Port: 443, Services: []ServiceWeight{{"orders", 1}}}}})
+		for i := range speeds {
+			e.PutServer(0, Server{Name: fmt.Sprint(i), ID: uint64(i + 1), Service: "orders", Domain: "a", Slots: 2, Revision: uint64(i + 1),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)})
+		}
+		f.all = append(f.all, e)
 	}
+	f.e = f.all[0]
 	return f
 }
 
+// tick runs the timers of all instances and lets them state loads and failures.
+func (f *fleet) tick(now time.Duration) {
+	for i, e := range f.all {
+		e.Tick(now)
+		if now%rateInterval != 0 {
+			continue
+		}
+		loads, failures := e.Loads(), e.TakeFailures()
+		for j, peer := range f.all {
+			if i != j {
+				peer.SetPeerLoads(now, fmt.Sprint(i), loads)
+				peer.PeerFailures(now, failures)
+			}
+		}
+	}
+}
+
 // giveUp is the deadline of a request.
 const giveUp = 1500 * time.Millisecond
 
@@ -60,17 +92,21 @@
 	late, all := 0, 0
 	for now := time.Duration(0); now < span; now += time.Millisecond {
 		if now%(10*time.Millisecond) == 0 {
-			f.e.Tick(now)
+			f.tick(now)
+			if f.each != nil {
+				f.each(now)
+			}
 		}
 		for i := range f.flows {
 			u := &f.flows[i]
+			u.e = f.all[i%len(f.all)]
 			switch {
 			case u.answer != 0 && now >= u.answer && u.lost:
 				// The client gives up and closes the flow.
 				u.answer, u.left, u.lost = 0, 0, false
 			case u.answer != 0 && now >= u.answer:
 				u.ack += 2000
-				f.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack}, nil)
+				u.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack}, nil)
 				u.answer, u.next = 0, now+time.Duration(f.rng.ExpFloat64()*float64(pause))
 			case u.answer == 0 && now >= u.next:
 				took := f.request(now, u)
@@ -79,6 +115,7 @@
 						late++
 					}
 					f.sent[u.cookie-1]++
+					f.took = append(f.took, took)
 					if u.lost {
 						f.lost++
 					}
@@ -93,16 +130,20 @@
 func (f *fleet) request(now time.Duration, u *simFlow) time.Duration {
 	if u.left == 0 {
 		if u.cookie != 0 {
-			f.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Finish: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack}, nil)
+			u.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Finish: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack}, nil)
 		}
 		f.port++
-		*u = simFlow{key: FlowKey{Client: 7 + uint32(f.port)%64, ClientPort: f.port, Service: 10, ServicePort: 443}, left: 1 + f.rng.IntN(40), seq: 1, ack: 1}
-		d, _ := f.e.Packet(now, Packet{Flow: u.key, Open: true}, []byte("syn"))
-		u.cookie = d.Target.Cookie
-		f.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: 1, Acknowledgement: 1}, nil)
+		*u = simFlow{e: u.e, key: FlowKey{Client: 7 + f.port%64, ClientPort: uint16(f.port), Service: 10, ServicePort: 443}, left: 1 + f.rng.IntN(40), seq: 1, ack: 1}
+		if f.place != nil {
+			u.cookie = uint32(f.place(u.e) + 1)
+		} else {
+			d, _ := u.e.Packet(now, Packet{Flow: u.key, Open: true}, []byte("syn"))
+			u.cookie = d.Target.Cookie
+		}
+		u.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: 1, Acknowledgement: 1}, nil)
 	}
 	u.left--
-	f.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack, Length: 100}, nil)
+	u.e.Packet(now, Packet{Flow: u.key, Acknowledges: true, Cookie: u.cookie, Sequence: u.seq, Acknowledgement: u.ack, Length: 100}, nil)
 	u.seq += 100
 	s := int(u.cookie) - 1
 	if u.lost = f.mute(s, now); u.lost {
--- a/forwarding/outcome.go
+++ b/forwarding/outcome.go
@@ -19,7 +19,7 @@
 	// requests, from which a server counts as failing. Clients that give up and flows that
 	// move to another instance cause single ones.
 	minFailures     = 2.0
-	minFailureShare = 0.05
+	minFailureShare = 0.02
 	// failureContrast is how many times more a server must fail than the mean of the
 	// others of its service: failures that all share have another cause, such as the
 	// instance's own link.
--- a/forwarding/outcome_test.go
+++ b/forwarding/outcome_test.go
@@ -1,6 +1,9 @@
 package forwarding
 
 import (
+	"flag"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -22,34 +25,65 @@
 	}
 }
 
-// Guards against detection that takes longer than 2 s from the first lost request, and
-// against healthy servers that are taken for failing ones.
-func TestFailingServerIsDetected(t *testing.T) {
-	const from = 10 * time.Second
-	f := newFleet([]float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1})
-	var found time.Duration
+// detectionSeeds is 20 for the table in docs/MEASUREMENTS.md.
+var detectionSeeds = flag.Int("detection.seeds", 3, "seeds in TestFailingServerIsDetected")
+
+// faultFrom is the time at which a server begins to fail.
+const faultFrom = 10 * time.Second
+
+// detect lets one of 10 servers fail and returns when the last of 8 instances took it for
+// failing, and the time for which healthy servers were taken for failing, summed over
+// servers and instances.
+func detect(seed uint64, mute func(*rand.Rand, time.Duration) bool) (detected, falsely time.Duration) {
+	const failing = 3
+	f := newFleetOf(8, []float64{0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7})
+	f.rng = rand.New(rand.NewPCG(seed, 2))
 	f.mute = func(server int, now time.Duration) bool {
-		for i := range f.speeds {
-			if !f.failing(now, i) {
-				continue
-			}
-			if i != 3 {
-				t.Fatalf("server %d counts as failing at %v", i, now)
-			}
-			if found == 0 {
-				found = now
+		return server == failing && now > faultFrom && mute(f.rng, now)
+	}
+	f.each = func(now time.Duration) {
+		all := true
+		for _, e := range f.all {
+			for i := range f.speeds {
+				is := e.byCookie[uint32(i+1)][0].failing(now)
+				if i == failing {
+					all = all && is
+				} else if is {
+					falsely += 10 * time.Millisecond
+				}
 			}
 		}
-		return server == 3 && now > from && f.rng.IntN(5) < 2
-	}
-	f.run(150, 590*time.Millisecond, 20*time.Second, 120*time.Millisecond)
-	if found == 0 || found > from+2*time.Second {
-		t.Errorf("detected at %v, requests were lost from %v on", found, from)
+		if all && detected == 0 {
+			detected = now
+		}
 	}
+	f.run(250, 590*time.Millisecond, 20*time.Second, 120*time.Millisecond)
+	return detected, falsely
 }
 
-func (f *fleet) failing(now time.Duration, server int) bool {
-	return f.e.byCookie[uint32(server+1)][0].failing(now)
+// Guards against detection that takes longer than 2 s from the first fault, and against
+// healthy servers that are taken for failing ones.
+func TestFailingServerIsDetected(t *testing.T) {
+	for name, mute := range map[string]func(*rand.Rand, time.Duration) bool{
+		"answers nothing": func(*rand.Rand, time.Duration) bool { return true },
+		"answers 60%":     func(r *rand.Rand, _ time.Duration) bool { return r.IntN(5) < 2 },
+		"down 0.4 of 1.4s": func(_ *rand.Rand, now time.Duration) bool {
+			return (now-faultFrom)%(1400*time.Millisecond) < 400*time.Millisecond
+		},
+	} {
+		var times []time.Duration
+		var falsely time.Duration
+		for seed := range *detectionSeeds {
+			detected, wrong := detect(uint64(seed+1), mute)
+			if detected == 0 || detected > faultFrom+2*time.Second || wrong > 0 {
+				t.Errorf("%s, seed %d: detected %v after the fault, healthy servers counted as failing for %v", name, seed+1, detected-faultFrom, wrong)
+			}
+			times = append(times, detected-faultFrom)
+			falsely += wrong
+		}
+		slices.Sort(times)
+		t.Logf("| %s | %v | %v | %v |", name, times[len(times)/2], times[len(times)-1], falsely)
+	}
 }
 
 // Guards against servers that are starved because all fail alike: the cause is then
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -7,6 +7,7 @@
 package forwarding
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"time"
@@ -18,6 +19,17 @@
 	ClientPort, ServicePort uint16
 }
 
+// NewFlowKey returns the key of the flow from a client's end to a service's address. Both
+// are IPv4 addresses.
+func NewFlowKey(client, service netip.AddrPort) FlowKey {
+	return FlowKey{Client: ipv4(client), Service: ipv4(service), ClientPort: client.Port(), ServicePort: service.Port()}
+}
+
+func ipv4(a netip.AddrPort) uint32 {
+	b := a.Addr().As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
 // String formats the key as client>service.
 func (k FlowKey) String() string {
 	return fmt.Sprintf("%s>%s", endpoint(k.Client, k.ClientPort), endpoint(k.Service, k.ServicePort))
--- /dev/null
+++ b/forwarding/placement_test.go
@@ -0,0 +1,92 @@
+package forwarding
+
+import (
+	"flag"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// placementServers is 150 for the table in docs/MEASUREMENTS.md.
+var placementServers = flag.Int("placement.servers", 15, "backend servers in TestPlacementCompared")
+
+// policies are ways to choose the server of a new flow from what one instance knows; nil
+// stands for the engine's own.
+func policies(rng *rand.Rand) map[string]func(*Engine) int {
+	servers := func(e *Engine) []*server { return e.services["orders"].local }
+	index := func(s *server) int { return int(s.ID) - 1 }
+	return map[string]func(*Engine) int{
+		"random": func(e *Engine) int { return rng.IntN(len(servers(e))) },
+		"two choices": func(e *Engine) int {
+			all := servers(e)
+			a, b := all[rng.IntN(len(all))], all[rng.IntN(len(all))]
+			if b.waiting < a.waiting {
+				a = b
+			}
+			return index(a)
+		},
+		"least in flight": func(e *Engine) int {
+			all := servers(e)
+			start := rng.IntN(len(all))
+			best := all[start]
+			for i := range all {
+				if s := all[(start+i)%len(all)]; s.waiting < best.waiting {
+					best = s
+				}
+			}
+			return index(best)
+		},
+		"expected use": nil,
+	}
+}
+
+type placementResult struct {
+	late    float64 // share of the requests over the aim
+	p50     time.Duration
+	p99     time.Duration
+	busiest float64 // share of its slots' time that the busiest server worked
+}
+
+func comparePlacement(policy string, servers, instances int, load float64) placementResult {
+	const (
+		span, aim = 16 * time.Second, 120 * time.Millisecond
+		pause     = 590 * time.Millisecond
+		work      = 22 * time.Millisecond
+	)
+	speeds := make([]float64, servers)
+	capacity := 0.0 // requests per second
+	for i := range speeds {
+		speeds[i] = []float64{0.7, 0.7, 1.7}[i%3]
+		capacity += 2 * speeds[i] / work.Seconds()
+	}
+	f := newFleetOf(instances, speeds)
+	f.place = policies(f.rng)[policy]
+	users := int(load * capacity * (pause + 30*time.Millisecond).Seconds())
+	var r placementResult
+	r.late = f.run(users, pause, span, aim)
+	slices.Sort(f.took)
+	r.p50, r.p99 = f.took[len(f.took)/2], f.took[len(f.took)*99/100]
+	for _, w := range f.work {
+		r.busiest = max(r.busiest, w.Seconds()/2/span.Seconds())
+	}
+	return r
+}
+
+// Guards against a placement of flows that is worse than simple ones at servers of speeds
+// 0.7 and 1.7 with two slots, of which each of 8 instances sees an eighth of the requests.
+func TestPlacementCompared(t *testing.T) {
+	for _, load := range []float64{0.5, 0.75} {
+		results := make(map[string]placementResult)
+		for _, policy := range []string{"random", "two choices", "least in flight", "expected use"} {
+			r := comparePlacement(policy, *placementServers, 8, load)
+			results[policy] = r
+			t.Logf("| %.0f%% | %s | %.1f%% | %v | %v | %.0f%% |", 100*load, policy, 100*r.late, r.p50, r.p99, 100*r.busiest)
+		}
+		for policy, r := range results {
+			if own := results["expected use"]; own.late > r.late {
+				t.Errorf("at %.0f%% load %.1f%% of the requests are late, %.1f%% with %s", 100*load, 100*own.late, 100*r.late, policy)
+			}
+		}
+	}
+}
