--- /dev/null
+++ b/forwarding/view.go
@@ -0,0 +1,95 @@
+package forwarding
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// ServerView is what the engine believes of a backend server.
+type ServerView struct {
+	Name, Service, Domain string
+	Address               netip.AddrPort
+	Cookie                uint32
+	State                 string // one of Judgements
+	Why                   string
+	Usable                bool // gets new flows
+	Flows, Waiting        int  // open flows and requests under way of this instance
+	Rate                  float64
+	RequestTime           time.Duration
+	Utilization           float64
+	Failures              float64 // weight of the failed requests
+}
+
+// FlowView is what the instance knows of a flow.
+type FlowView struct {
+	Flow    FlowKey
+	Server  string
+	State   string
+	Kind    Kind
+	Waiting time.Duration // since when a request is under way; 0 without one
+	Idle    time.Duration // since the last packet
+}
+
+// Servers returns all known servers in the order of their services and names.
+func (e *Engine) Servers(now time.Duration) []ServerView {
+	out := make([]ServerView, 0, len(e.servers))
+	for _, s := range e.servers {
+		state, why := s.judgement(now)
+		out = append(out, ServerView{
+			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address, Cookie: s.cookie,
+			State: state, Why: why, Usable: s.usable(),
+			Flows: int(s.flows), Waiting: int(s.waiting), Rate: s.meter.rate + s.meter.peerRate,
+			RequestTime: time.Duration(s.requestTime(now)), Utilization: s.utilization(now), Failures: s.failures.value(now),
+		})
+	}
+	slices.SortFunc(out, func(a, b ServerView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// Judgements are the words for what an instance believes of a server.
+var Judgements = []string{"trusted", "cold", "failing", "suspected", "shadowed", "draining", "unreachable", "gone", "dead"}
+
+// judgement returns in one word what the engine believes of the server, and why.
+func (s *server) judgement(now time.Duration) (state, why string) {
+	v := &s.evidence
+	switch {
+	case v.state == dead && v.replaced:
+		return "dead", "a newer record has its address"
+	case v.state == dead:
+		return "dead", "its address refused a connection or answered for another server"
+	case !s.listed:
+		return "gone", "it has no record; open flows keep it"
+	case v.state == unreachable:
+		return "unreachable", "its probes stay without an answer"
+	case s.Draining:
+		return "draining", "its record says so"
+	case s.shadowed:
+		return "shadowed", "another server has the same cookie"
+	case v.state == suspected:
+		return "suspected", "packets stay without an answer; a probe is under way"
+	case s.failing(now):
+		return "failing", "requests make no progress"
+	case now < s.coldUntil:
+		return "cold", "it has just started"
+	}
+	return "trusted", ""
+}
+
+// Flow returns what is known of a flow.
+func (e *Engine) Flow(now time.Duration, k FlowKey) (FlowView, bool) {
+	f := e.flows[k]
+	if f == nil {
+		return FlowView{}, false
+	}
+	v := FlowView{Flow: k, Server: f.server.Name, State: flowStateNames[f.state], Kind: f.kind, Idle: now - duration(f.seenAt)}
+	if f.waiting {
+		v.Waiting = now - duration(f.sentAt)
+	}
+	return v, true
+}
+
+var flowStateNames = [...]string{"opening", "open", "closing"}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -50,14 +50,15 @@
 
 // app holds the settings that all commands share.
 type app struct {
-	env       Env
-	output    string
-	store     string
-	instances []string
-	timeout   time.Duration
-	tlsCert   string
-	tlsKey    string
-	tlsCA     string
+	env        Env
+	output     string
+	store      string
+	instances  []string
+	forwarders []string // their status addresses
+	timeout    time.Duration
+	tlsCert    string
+	tlsKey     string
+	tlsCA      string
 }
 
 // usageError is a command line that cannot be run.
@@ -153,12 +154,13 @@
 	f.StringVarP(&a.output, "output", "o", outputText, "form of the output: text or json")
 	f.StringVar(&a.store, "store-url", "", "base URL of the key-value service")
 	f.StringSliceVar(&a.instances, "instances", nil, "ip:port of entry instances to begin with; the others are found through them")
+	f.StringSliceVar(&a.forwarders, "status-addresses", nil, "ip:port of readiness or metrics addresses of forwarders to begin with; the others are found through them at the same port")
 	f.DurationVar(&a.timeout, "call-timeout", defaultCallTimeout, "time for one call to an instance or the key-value service")
 	f.StringVar(&a.tlsCert, "tls-cert", "", "PEM certificate; without it connections are not encrypted")
 	f.StringVar(&a.tlsKey, "tls-key", "", "PEM key of --tls-cert")
 	f.StringVar(&a.tlsCA, "tls-ca", "", "PEM certificates of the CA")
 	must(root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp)))
-	root.AddCommand(a.questionnaireCommand(), a.statusCommand(), a.inForceCommand(), a.timelineCommand(), a.versionCommand())
+	root.AddCommand(a.questionnaireCommand(), a.statusCommand(), a.inForceCommand(), a.timelineCommand(), a.forwarderCommand(), a.versionCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/ctl/forwarders_test.go
@@ -0,0 +1,133 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
+)
+
+// startForwarders serves the status of some instances at 127.0.7.1, 127.0.7.2 and so on, all
+// at one port, as the platform does. It returns the first address.
+func startForwarders(t *testing.T, all ...*view.Status) string {
+	first, err := net.Listen("tcp4", "127.0.7.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := first.Addr().(*net.TCPAddr).Port
+	listeners := []net.Listener{first}
+	for i := range all[1:] {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.7.%d:%d", i+2, port))
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+	}
+	for i, s := range all {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET "+view.StatusPath, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s) })
+		mux.HandleFunc("GET "+view.FlowPath, func(w http.ResponseWriter, r *http.Request) {
+			if flow := strings.TrimPrefix(r.URL.Path, view.FlowPath); i == 1 && flow == "10.0.0.7:1>10.0.0.9:443" {
+				json.NewEncoder(w).Encode(view.Flow{Instance: s.Instance, Flow: flow, Server: "servers/i-5", State: "open", Kind: "idempotent"})
+				return
+			}
+			w.WriteHeader(http.StatusNotFound)
+		})
+		server := httptest.NewUnstartedServer(mux)
+		server.Listener.Close()
+		server.Listener = listeners[i]
+		server.Start()
+		t.Cleanup(server.Close)
+	}
+	return first.Addr().String()
+}
+
+// twoForwarders returns the address of the first of two instances, which knows the other
+// and a third one that is down.
+func twoForwarders(t *testing.T) string {
+	server := func(state string, flows int) []view.Server {
+		return []view.Server{{Name: "servers/i-5", Service: "orders", Domain: "levis", Address: "10.0.0.5:80", State: state, Flows: flows, Utilization: 0.25}}
+	}
+	return startForwarders(t,
+		&view.Status{Instance: "front-1", Domain: "laval", State: "ready", Version: 7, Revision: 90, Watching: true, Servers: server("unreachable", 2),
+			Members: []view.Member{
+				{Instance: "front-2", Domain: "levis", Address: "127.0.7.2:7720", Alive: true},
+				{Instance: "front-3", Domain: "levis", Address: "127.0.7.3:7720"},
+			}},
+		&view.Status{Instance: "front-2", Domain: "levis", State: "starting", Version: 6, Servers: server("failing", 3)})
+}
+
+// Guards against instances that the tool does not find, and against versions and judgements
+// that are shown for the wrong one.
+func TestForwarderStatusAndServers(t *testing.T) {
+	first := twoForwarders(t)
+	c := newConsole(t)
+	c.run(ExitOK, "front-2", "forwarder", "status", "--status-addresses", first)
+	for _, want := range []string{"laval", "ready", "7", "90", "true", "1/2", "starting", "never"} {
+		if !strings.Contains(c.out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, &c.out)
+		}
+	}
+	c.run(ExitOK, "front-2", "forwarder", "status", "--status-addresses", first, "--status-addresses", strings.Replace(first, "127.0.7.1", "127.0.7.2", 1))
+	if got := strings.Count(c.out.String(), "front-2"); got != 1 {
+		t.Errorf("an instance is shown %d times:\n%s", got, &c.out)
+	}
+	c.run(ExitOK, "failing at 1, unreachable at 1", "forwarder", "servers", "--status-addresses", first)
+	c.run(ExitOK, "\"flows\": 5", "forwarder", "servers", "--state", "failing", "--output", "json", "--status-addresses", first)
+	c.run(ExitOK, "BACKEND SERVER", "forwarder", "servers", "--state", "dead", "--status-addresses", first)
+	if strings.Contains(c.out.String(), "i-5") {
+		t.Errorf("a server that nobody judges dead is shown:\n%s", &c.out)
+	}
+}
+
+// Guards against errors without a number or without the address that did not answer.
+func TestForwarderErrors(t *testing.T) {
+	c := newConsole(t)
+	c.run(ExitUsage, "[601] --status-addresses is needed", "forwarder", "status")
+	c.run(ExitUsage, "[601] --status-addresses", "forwarder", "status", "--status-addresses", "laval")
+	c.run(ExitError, "127.0.7.9:1", "forwarder", "status", "--status-addresses", "127.0.7.9:1")
+	c.run(ExitUsage, "[601] --logs or --status-addresses is needed", "forwarder", "explain", "10.0.0.7:1>10.0.0.9:443")
+	c.run(ExitUsage, "[601] --state \"ill\" is not allowed; allowed: trusted", "forwarder", "servers", "--state", "ill", "--status-addresses", "127.0.7.9:1")
+	c.run(ExitUsage, "[601] --window", "forwarder", "explain", "10.0.0.7:1>10.0.0.9:443", "--window", "-1s", "--logs", c.path("none"))
+	c.run(ExitError, "[601] --logs", "forwarder", "explain", "10.0.0.7:1>10.0.0.9:443", "--logs", c.path("none"))
+}
+
+// Guards against an explanation that leaves out what another instance knew of the flow's
+// server, that is out of order, or that shows lines of other flows.
+func TestForwarderExplain(t *testing.T) {
+	c := newConsole(t)
+	a := `time=2026-01-24T09:35:10.5Z level=info msg=flow_reset instance=front-1 flow=10.0.0.7:1>10.0.0.9:443 reason=server_dead server=servers/i-5
+time=2026-01-24T09:35:10.4Z level=info msg=server_probed instance=front-1 server=servers/i-5 outcome=refused error="connection refused by 10.0.0.5:80"
+time=2026-01-24T09:35:10.3Z level=info msg=flow_reset instance=front-1 flow=10.0.0.8:4>10.0.0.9:443 reason=no_route
+a line that is no log line
+`
+	b := `time=2026-01-24T09:35:10.45Z level=info msg=server_probed instance=front-2 server=servers/i-5 outcome=refused
+time=2026-01-24T09:35:10.46Z level=info msg=server_probed instance=front-2 server=servers/i-6 outcome=answered
+time=2026-01-24T09:31:00Z level=info msg=server_probed instance=front-2 server=servers/i-5 outcome=answered
+`
+	for name, text := range map[string]string{"a.log": a, "b.log": b} {
+		if err := os.WriteFile(c.path(name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	flow := "10.0.0.7:1>10.0.0.9:443"
+	c.run(ExitOK, "server_dead", "forwarder", "explain", flow, "--logs", c.path("a.log"), "--logs", c.path("b.log"))
+	var order []string
+	for line := range strings.Lines(c.out.String()) {
+		if fields := parseFields(strings.TrimSpace(line)); fields["msg"] != "" {
+			order = append(order, fields["instance"]+" "+fields["msg"]+" "+fields["error"])
+		}
+	}
+	want := "front-1 server_probed connection refused by 10.0.0.5:80, front-2 server_probed , front-1 flow_reset "
+	if got := strings.Join(order, ", "); got != want {
+		t.Errorf("lines %q, want %q", got, want)
+	}
+	c.run(ExitOK, "front-2: open at servers/i-5, idempotent", "forwarder", "explain", flow, "--status-addresses", twoForwarders(t))
+	c.run(ExitOK, "no instance that was asked holds flow 1.1.1.1:1>2.2.2.2:2 now", "forwarder", "explain", "1.1.1.1:1>2.2.2.2:2", "--status-addresses", twoForwarders(t))
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -74,7 +74,7 @@
 		conn.Close()
 		return nil, err
 	}
-	self := mesh.Peer{ID: s.InstanceID, Domain: s.FailureDomain, Address: netip.MustParseAddrPort(s.PeerAddress)}
+	self := mesh.Peer{ID: s.InstanceID, Domain: s.FailureDomain, Address: s.reachableAt()}
 	f := &Forwarder{
 		self:        self,
 		incarnation: rand.Uint64(),
--- a/internal/forwarder/lifecycle.go
+++ b/internal/forwarder/lifecycle.go
@@ -13,6 +13,7 @@
 	"github.com/qmuntal/stateless"
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
 	"github.com/monsoonthread/monsoonthread/internal/logging"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
@@ -60,6 +61,9 @@
 	return l
 }
 
+// state returns the name of the present state.
+func (l *lifecycle) state() string { return l.machine.MustState().(string) }
+
 func (l *lifecycle) fire(trigger string) {
 	if err := l.machine.Fire(trigger); err != nil {
 		l.log.Error().Uint16(logging.Code, uint16(result.InternalInvariant)).Err(err).Msg("lifecycle")
@@ -106,7 +110,7 @@
 	}
 }
 
-// serveHTTP answers readiness and metrics.
+// serveHTTP answers readiness, metrics and the operators' tool.
 func (f *Forwarder) serveHTTP() (*http.Server, error) {
 	listener, err := net.Listen("tcp4", f.settings.Load().ReadyAddress)
 	if err != nil {
@@ -119,6 +123,8 @@
 		}
 	})
 	mux.HandleFunc("GET /metrics", f.writeMetrics)
+	mux.HandleFunc("GET "+view.StatusPath, f.writeStatus)
+	mux.HandleFunc("GET "+view.FlowPath, f.writeFlow)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 4096}
 	go server.Serve(listener)
 	f.serveMetrics(server)
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -27,6 +27,7 @@
 	ReadyAddress       string
 	MetricsAddress     string
 	PeerAddress        string
+	AdvertisedAddress  string
 	Seeds              string
 	StoreAddress       string
 	MemoryMB           int
@@ -50,6 +51,7 @@
 	f.StringVar(&s.ReadyAddress, "ready-address", "", "ip:port for HTTP readiness and metrics")
 	f.StringVar(&s.MetricsAddress, "metrics-address", "", "second ip:port for HTTP metrics; empty for none")
 	f.StringVar(&s.PeerAddress, "peer-address", "", "ip:port for messages between instances, over UDP and TCP; all instances use this port")
+	f.StringVar(&s.AdvertisedAddress, "advertised-peer-address", "", "ip:port at which other instances reach --peer-address; empty if it is the same")
 	f.StringVar(&s.Seeds, "seeds", "", "comma-separated ip:port of instances that may know the others; the port is replaced by that of --peer-address")
 	f.StringVar(&s.StoreAddress, "store-address", "", "ip:port of the platform's store")
 	f.IntVar(&s.MemoryMB, "memory-mb", 256, "memory that the process may use, in MB; bounds the flow table")
@@ -113,6 +115,9 @@
 	if _, err := netip.ParseAddrPort(s.MetricsAddress); s.MetricsAddress != "" && err != nil {
 		bad("metrics-address", "%q must be empty or ip:port", s.MetricsAddress)
 	}
+	if a, err := netip.ParseAddrPort(s.AdvertisedAddress); s.AdvertisedAddress != "" && (err != nil || a.Port() == 0 || !a.Addr().Is4()) {
+		bad("advertised-peer-address", "%q must be empty or IPv4:port with a port from 1 to 65535", s.AdvertisedAddress)
+	}
 	if _, err := s.SeedAddresses(); err != nil {
 		bad("seeds", "%v", err)
 	}
@@ -139,19 +144,28 @@
 	return errors.Join(errs...)
 }
 
+// reachableAt returns the address at which other instances reach this one.
+func (s *Settings) reachableAt() netip.AddrPort {
+	if s.AdvertisedAddress != "" {
+		return netip.MustParseAddrPort(s.AdvertisedAddress)
+	}
+	return netip.MustParseAddrPort(s.PeerAddress)
+}
+
 // SeedAddresses returns the peer addresses of the seeds.
 func (s *Settings) SeedAddresses() ([]netip.AddrPort, error) {
 	peer, err := netip.ParseAddrPort(s.PeerAddress)
 	if err != nil || s.Seeds == "" {
 		return nil, nil
 	}
+	advertised, _ := netip.ParseAddrPort(s.AdvertisedAddress) // checked apart from the seeds
 	var out []netip.AddrPort
 	for text := range strings.SplitSeq(s.Seeds, ",") {
 		a, err := netip.ParseAddrPort(strings.TrimSpace(text))
 		if err != nil {
 			return nil, fmt.Errorf("%q is not ip:port", text)
 		}
-		if a.Addr() != peer.Addr() {
+		if a.Addr() != peer.Addr() && a.Addr() != advertised.Addr() {
 			out = append(out, netip.AddrPortFrom(a.Addr(), peer.Port()))
 		}
 	}
--- /dev/null
+++ b/internal/forwarder/status.go
@@ -0,0 +1,94 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+// writeStatus answers with the instance's view of the deployment.
+func (f *Forwarder) writeStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, f.statusView())
+}
+
+func (f *Forwarder) statusView() view.Status {
+	out := view.Status{Instance: f.self.ID, Domain: f.self.Domain, State: f.lifecycle.state(), Members: []view.Member{}, Servers: []view.Server{}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	stats := f.engine.Stats()
+	out.Version, out.Flows, out.Waiting = stats.Version, stats.Flows, stats.Waiting
+	out.Revision, out.Watching = f.table.AsOf(), f.mesh.Watching()
+	if age, ok := f.mesh.ContactAge(now); ok {
+		out.Age = seconds(age)
+	}
+	for _, m := range f.mesh.View(now) {
+		member := view.Member{Instance: m.ID, Domain: m.Domain, Address: m.Address.String(), Alive: m.Alive, Watching: m.Watching, Revision: m.AsOf}
+		if m.HeardAgo >= 0 {
+			member.HeardAgo = seconds(m.HeardAgo)
+		}
+		out.Members = append(out.Members, member)
+	}
+	for _, s := range f.engine.Servers(now) {
+		out.Servers = append(out.Servers, view.Server{
+			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address.String(), Cookie: s.Cookie, State: s.State, Why: s.Why,
+			Usable: s.Usable, Flows: s.Flows, Waiting: s.Waiting, Rate: s.Rate, RequestTime: s.RequestTime.Seconds(),
+			Utilization: s.Utilization, Failures: s.Failures,
+		})
+	}
+	return out
+}
+
+// writeFlow answers with what is known of one flow; 404 if it is not in the table, 400 if
+// the path names none.
+func (f *Forwarder) writeFlow(w http.ResponseWriter, r *http.Request) {
+	key, err := parseFlow(strings.TrimPrefix(r.URL.Path, view.FlowPath))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	v, ok := f.engine.Flow(f.now(), key)
+	f.mu.Unlock()
+	if !ok {
+		http.Error(w, "the flow is not in the table of this instance", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, view.Flow{
+		Instance: f.self.ID, Flow: v.Flow.String(), Server: v.Server, State: v.State, Kind: kindNames[v.Kind],
+		Waiting: v.Waiting.Seconds(), Idle: v.Idle.Seconds(),
+	})
+}
+
+var kindNames = [...]string{"idempotent", "non_idempotent", "download"}
+
+// parseFlow reads a flow as log lines print it: CLIENT:PORT>SERVICE:PORT.
+func parseFlow(text string) (forwarding.FlowKey, error) {
+	from, to, _ := strings.Cut(text, ">")
+	client, err := netip.ParseAddrPort(from)
+	if err != nil || !client.Addr().Is4() {
+		return forwarding.FlowKey{}, result.Errorf(result.SettingsInvalid, "flow %q is not CLIENT:PORT>SERVICE:PORT with IPv4 addresses", text)
+	}
+	service, err := netip.ParseAddrPort(to)
+	if err != nil || !service.Addr().Is4() {
+		return forwarding.FlowKey{}, result.Errorf(result.SettingsInvalid, "flow %q is not CLIENT:PORT>SERVICE:PORT with IPv4 addresses", text)
+	}
+	return forwarding.NewFlowKey(client, service), nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error here means that the operator's tool has left.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func seconds(d time.Duration) *float64 {
+	s := d.Seconds()
+	return &s
+}
--- /dev/null
+++ b/internal/forwarder/status_test.go
@@ -0,0 +1,72 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"testing"
+
+	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
+)
+
+// get reads a JSON body from an instance's readiness address and returns the status code.
+func (i *instance) get(t *testing.T, path string, body any) int {
+	u := url.URL{Scheme: "http", Host: i.settings.Load().ReadyAddress, Path: path}
+	r, err := http.Get(u.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if r.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(r.Body).Decode(body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r.StatusCode
+}
+
+// Guards against a status that hides an instance, a backend server or a flow from the
+// operators' tool.
+func TestStatusShowsTheDeployment(t *testing.T) {
+	d := newDeployment(t)
+	host := d.host("i-00000001", "orders", "a", 1)
+	first, second := d.start("front-1", "a", 1), d.start("front-2", "a", 2, "127.0.2.1:1")
+	d.eventually("both ready", patience, func() bool { return first.lifecycle.isReady.Load() && second.lifecycle.isReady.Load() })
+	flow, err := d.client.Open(service, first.packetsAt(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s view.Status
+	d.eventually("the status shows peer and watcher", patience, func() bool {
+		if first.get(t, view.StatusPath, &s) != http.StatusOK {
+			t.Fatal("no status")
+		}
+		watchers := 0
+		if s.Watching {
+			watchers++
+		}
+		for _, m := range s.Members {
+			if m.Watching {
+				watchers++
+			}
+		}
+		return len(s.Members) == 1 && s.Members[0].Alive && watchers == 1 && s.Flows == 1
+	})
+	if s.State != ready || s.Version != 1 || s.Age == nil || s.Revision == 0 {
+		t.Errorf("status %+v", s)
+	}
+	if len(s.Servers) != 1 || s.Servers[0].Name != "servers/i-00000001" || s.Servers[0].State != "trusted" || !s.Servers[0].Usable ||
+		s.Servers[0].Address != host.Address().String() || s.Servers[0].Flows != 1 {
+		t.Errorf("backend servers %+v", s.Servers)
+	}
+	var v view.Flow
+	if code := first.get(t, view.FlowPath+flow.Key(), &v); code != http.StatusOK || v.Server != "servers/i-00000001" || v.State != "open" || v.Kind != "idempotent" {
+		t.Errorf("flow %d %+v", code, v)
+	}
+	if code := second.get(t, view.FlowPath+flow.Key(), &v); code != http.StatusNotFound {
+		t.Errorf("status code %d at an instance that has not seen the flow", code)
+	}
+	if code := first.get(t, view.FlowPath+"front-1", &v); code != http.StatusBadRequest {
+		t.Errorf("status code %d for a path that names no flow", code)
+	}
+}
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"github.com/monsoonthread/monsoonthread/forwarding"
 	"github.com/monsoonthread/monsoonthread/internal/ctl"
 	"github.com/monsoonthread/monsoonthread/internal/forwarder"
 	"github.com/monsoonthread/monsoonthread/internal/settings"
@@ -67,21 +68,22 @@
 // forwarderLimits is keyed like daemonLimits; its keys start with the program's name
 // where the page has one.
 var forwarderLimits = map[string]limits{
-	"forwarder instance-id":          {"", "not empty; required", []string{"front-laval-1"}, []string{""}},
-	"forwarder failure-domain":       {"", "not empty; required", []string{"laval"}, []string{""}},
-	"forwarder datagram-address":     {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "[::1]:1", "127.0.0.1:0"}},
-	"forwarder ready-address":        {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "localhost:1"}},
-	"forwarder metrics-address":      {"", "IP address and port, or empty", []string{"", "127.0.0.1:9464"}, []string{"localhost:1"}},
-	"forwarder peer-address":         {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "127.0.0.1"}},
-	"forwarder seeds":                {"", "IP addresses and ports, separated by commas, or empty", []string{"", "127.0.0.2:1,127.0.0.3:1"}, []string{"somewhere"}},
-	"forwarder store-address":        {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "http://127.0.0.1:1"}},
-	"forwarder new-flows-per-prefix": {"flows/s", "1 to 1000000", []string{"1", "1000000"}, []string{"0", "1000001"}},
-	"forwarder memory-mb":            {"MB", "16 to 1048576", []string{"16", "1048576"}, []string{"15", "1048577"}},
-	"forwarder max-flow-lifetime":    {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
-	"forwarder grace-period":         {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
-	"forwarder configuration-bound":  {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
-	"forwarder drain-bound":          {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
-	"forwarder log-level":            {"", levelNames, strings.Split(levelNames, ", "), []string{"", "trace"}},
+	"forwarder instance-id":             {"", "not empty; required", []string{"front-laval-1"}, []string{""}},
+	"forwarder failure-domain":          {"", "not empty; required", []string{"laval"}, []string{""}},
+	"forwarder datagram-address":        {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "[::1]:1", "127.0.0.1:0"}},
+	"forwarder ready-address":           {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "localhost:1"}},
+	"forwarder metrics-address":         {"", "IP address and port, or empty", []string{"", "127.0.0.1:9464"}, []string{"localhost:1"}},
+	"forwarder peer-address":            {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "127.0.0.1"}},
+	"forwarder advertised-peer-address": {"", "IPv4 address and port, or empty", []string{"", "127.0.0.1:1"}, []string{"localhost:1", "127.0.0.1:0"}},
+	"forwarder seeds":                   {"", "IP addresses and ports, separated by commas, or empty", []string{"", "127.0.0.2:1,127.0.0.3:1"}, []string{"somewhere"}},
+	"forwarder store-address":           {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "http://127.0.0.1:1"}},
+	"forwarder new-flows-per-prefix":    {"flows/s", "1 to 1000000", []string{"1", "1000000"}, []string{"0", "1000001"}},
+	"forwarder memory-mb":               {"MB", "16 to 1048576", []string{"16", "1048576"}, []string{"15", "1048577"}},
+	"forwarder max-flow-lifetime":       {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder grace-period":            {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder configuration-bound":     {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder drain-bound":             {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder log-level":               {"", levelNames, strings.Split(levelNames, ", "), []string{"", "trace"}},
 }
 
 // ctlLimits is keyed by command and flag; the flags of all commands have no command.
@@ -90,6 +92,11 @@
 	" instances":                   {allowed: "IP addresses and ports, separated by commas"},
 	" output":                      {allowed: "text, json"},
 	" store-url":                   {allowed: "http or https URL"},
+	" status-addresses":            {allowed: "IP addresses and ports, separated by commas"},
+	"forwarder explain logs":       {allowed: "files, separated by commas"},
+	"forwarder explain window":     {unit: "duration", allowed: "0s or more"},
+	"forwarder servers service":    {allowed: "name of a service, or empty for all"},
+	"forwarder servers state":      {allowed: "empty for all, or one of " + strings.Join(forwarding.Judgements, ", ")},
 	" tls-ca":                      {allowed: "file; all three TLS files or none"},
 	" tls-cert":                    {allowed: "file; all three TLS files or none"},
 	" tls-key":                     {allowed: "file; all three TLS files or none"},
--- a/internal/standin/flows/client.go
+++ b/internal/standin/flows/client.go
@@ -97,6 +97,9 @@
 // Echo returns the cookie that the flow carries.
 func (f *Flow) Echo() uint32 { return f.echo }
 
+// Key returns the flow as log lines of the system print it.
+func (f *Flow) Key() string { return f.local.String() + ">" + f.service.String() }
+
 // Request sends data through an entry instance and returns the answer's last packet.
 func (f *Flow) Request(via netip.AddrPort, data string, timeout time.Duration) (string, error) {
 	p, err := f.exchange(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack, Data: []byte(data)}, timeout, func(p Packet) bool {
