Harm the links between instances in the soak, and run it as a command

Change: package test/soak holds the run; the test and "lab soak" (table, JSON result, progress, up to 300 instances) use it. Links between instances and to the store silence one way, drop the datagrams of single senders or of a failure domain, delay, and reset connections. Cuts between instances do not excuse a late configuration: the rule asks for a path to the store only.

--- a/test/soak/world_test.go
+++ b/test/soak/world.go
@@ -1,9 +1,11 @@
 // Package soak runs forwarders as processes under random faults and checks, from what
 // clients and backend servers see, what must always hold. The faults come from outside:
-// signals, a store with faults, proxies that cut single instances off from the store.
+// signals, a store with faults, and links that delay, reset and silence what passes between
+// an instance and the store or the other instances.
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,7 +20,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/internal/standin/flows"
@@ -36,10 +37,20 @@
 	recovery = 12 * time.Second
 	// restartAfter is how long a killed process is down.
 	restartAfter = 300 * time.Millisecond
+	// maxViolations bounds what is reported of one run.
+	maxViolations = 20
 
-	domains            = 3
-	instancesPerDomain = 2
-	clients            = 12
+	domains          = 3
+	serversPerDomain = 2 // of orders, and one of catalogue
+)
+
+// The first addresses of each kind of party. Each has an address of its own, and all
+// instances use the same ports, as on the users' platform.
+var (
+	instanceBase = netip.MustParseAddr("127.1.2.1")
+	peerBase     = netip.MustParseAddr("127.1.6.1") // where links pass messages on to instances
+	serverBase   = netip.MustParseAddr("127.1.10.1")
+	clientBase   = netip.MustParseAddr("127.1.14.1")
 )
 
 // orders and catalogue are the service addresses; their servers must never be mixed up.
@@ -48,17 +59,30 @@
 	catalogue = netip.MustParseAddrPort("198.18.0.2:8443")
 )
 
+// addressOf returns the n-th address from base on.
+func addressOf(base netip.Addr, n int) netip.Addr {
+	b := base.As4()
+	n += int(b[3])
+	b[2] += byte(n / 250)
+	b[3] = byte(n % 250)
+	if b[3] == 0 {
+		b[3] = 251
+	}
+	return netip.AddrFrom4(b)
+}
+
 // world is one deployment under test.
 type world struct {
-	t     *testing.T
+	o     Options
 	rng   *rand.Rand
-	dir   string
 	store *metastore.Store
 	ports [3]uint16 // packets, readiness, peers
-	url   string    // of the store
+	url   netip.AddrPort
+	stops []func() // in reverse order at the end
 
 	mu         sync.Mutex
 	violations []string
+	faults     map[string]int
 	version    int
 	accepted   time.Time // of the version
 	storeFault time.Time // end of the last fault of the store
@@ -82,8 +106,10 @@
 type process struct {
 	w       *world
 	name    string
+	number  int
 	ip      netip.Addr
-	storeAt *proxy
+	storeAt *link // what it reaches the store through
+	peerAt  *link // what others reach it through
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -92,88 +118,45 @@
 	stopping  bool
 }
 
-// proxy forwards connections to the store until it is cut.
-type proxy struct {
-	listener net.Listener
-	target   string
-	cut      atomic.Bool
-}
-
-func newProxy(t *testing.T, target string) *proxy {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &proxy{listener: l, target: target}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.relay(c)
-		}
-	}()
-	return p
-}
-
-// relay copies both ways; while the proxy is cut, bytes are held back in silence.
-func (p *proxy) relay(c net.Conn) {
-	defer c.Close()
-	up, err := net.Dial("tcp4", p.target)
-	if err != nil {
-		return
-	}
-	defer up.Close()
-	done := make(chan struct{}, 2)
-	pass := func(to, from net.Conn) {
-		b := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(b)
-			for p.cut.Load() {
-				time.Sleep(20 * time.Millisecond)
-			}
-			if n > 0 {
-				if _, err := to.Write(b[:n]); err != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
-		done <- struct{}{}
-	}
-	go pass(up, c)
-	go pass(c, up)
-	<-done
-}
+func (p *process) domain() int { return p.number % domains }
 
-func newWorld(t *testing.T, binary string, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), store: metastore.New()}
+func newWorld(o Options) (*world, error) {
+	w := &world{o: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: metastore.New(), faults: make(map[string]int)}
 	server := httptest.NewServer(w.store.Handler())
-	t.Cleanup(server.Close)
-	w.url = strings.TrimPrefix(server.URL, "http://")
+	w.stops = append(w.stops, server.Close)
+	w.url = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	for i := range w.ports {
-		l, err := net.Listen("tcp4", "127.1.2.1:0")
+		l, err := net.Listen("tcp4", net.JoinHostPort(instanceBase.String(), "0"))
 		if err != nil {
-			t.Fatal(err)
+			return w, err
 		}
 		w.ports[i] = l.Addr().(*net.TCPAddr).AddrPort().Port()
 		l.Close()
 	}
 	w.configure()
 	for d := range domains {
-		for range 2 {
+		for range serversPerDomain {
 			w.addServer("orders", d)
 		}
 		w.addServer("catalogue", d)
 	}
-	for i := range domains * instancesPerDomain {
-		w.addInstance(binary, i)
+	for i := range domains * o.InstancesPerDomain {
+		if err := w.addInstance(i); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) close() {
+	for i := len(w.stops) - 1; i >= 0; i-- {
+		w.stops[i]()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		s.Stop()
 	}
-	return w
 }
 
 // configure accepts the next version. It has a route of its own, at port 10000 + version,
@@ -195,11 +178,11 @@
 	w.mu.Lock()
 	w.nextID++
 	id := fmt.Sprintf("i-%08x", w.nextID)
-	ip := fmt.Sprintf("127.1.3.%d", w.nextID%250+1)
+	at := netip.AddrPortFrom(addressOf(serverBase, w.nextID), w.ports[0])
 	w.mu.Unlock()
-	h, err := flows.StartHost(id, service, fmt.Sprint("d", domain), netip.MustParseAddrPort(fmt.Sprintf("%s:%d", ip, w.ports[0])), w.ports[0])
+	h, err := flows.StartHost(id, service, fmt.Sprint("d", domain), at, w.ports[0])
 	if err != nil {
-		w.t.Log(err)
+		w.violate("the stand-in of a server does not start: %v", err)
 		return
 	}
 	s := &server{Host: h}
@@ -210,31 +193,45 @@
 	w.store.Put(wire.ServerPrefix+id, h.Entry("ready"))
 }
 
-func (w *world) addInstance(binary string, number int) {
-	p := &process{w: w, name: fmt.Sprint("front-", number), ip: netip.MustParseAddr(fmt.Sprint("127.1.2.", number+1)), storeAt: newProxy(w.t, w.url)}
-	at := func(i int) string { return fmt.Sprintf("%s:%d", p.ip, w.ports[i]) }
-	settings := fmt.Sprintf("instance-id=%s\nfailure-domain=d%d\ndatagram-address=%s\nready-address=%s\npeer-address=%s\nseeds=127.1.2.1:1,127.1.2.3:1\nstore-address=%s\n",
-		p.name, number%domains, at(0), at(1), at(2), p.storeAt.listener.Addr())
-	file := filepath.Join(w.dir, p.name+".conf")
+func (w *world) addInstance(number int) error {
+	p := &process{w: w, name: fmt.Sprint("front-", number), number: number, ip: addressOf(instanceBase, number)}
+	at := func(i int) netip.AddrPort { return netip.AddrPortFrom(p.ip, w.ports[i]) }
+	var err error
+	if p.storeAt, err = newLink("127.0.0.1:0", w.url, false); err != nil {
+		return err
+	}
+	w.stops = append(w.stops, p.storeAt.close)
+	if p.peerAt, err = newLink(netip.AddrPortFrom(addressOf(peerBase, number), w.ports[2]).String(), at(2), true); err != nil {
+		return err
+	}
+	w.stops = append(w.stops, p.peerAt.close)
+	settings := fmt.Sprintf("instance-id=%s\nfailure-domain=d%d\ndatagram-address=%s\nready-address=%s\npeer-address=%s\nadvertised-peer-address=%s\nseeds=%s:1,%s:1\nstore-address=%s\n",
+		p.name, p.domain(), at(0), at(1), at(2), p.peerAt.address(), peerBase, addressOf(peerBase, 2), p.storeAt.address())
+	file := filepath.Join(w.o.Dir, p.name+".conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-		w.t.Fatal(err)
+		return err
 	}
 	w.instances = append(w.instances, p)
-	p.start(binary, file)
-	w.t.Cleanup(func() { p.signal(syscall.SIGKILL) })
+	return p.start(file)
 }
 
 // start runs the process and starts it again after each end, as the platform does.
-func (p *process) start(binary, file string) {
-	out, err := os.Create(filepath.Join(p.w.dir, p.name+".log"))
+func (p *process) start(file string) error {
+	out, err := os.Create(filepath.Join(p.w.o.Dir, p.name+".log"))
 	if err != nil {
-		p.w.t.Fatal(err)
+		return err
 	}
-	stopped := make(chan struct{})
-	p.w.t.Cleanup(func() { close(stopped); out.Close() })
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	p.w.stops = append(p.w.stops, func() {
+		close(stopped)
+		p.signal(syscall.SIGKILL)
+		<-ended
+		out.Close()
+	})
 	go func() {
+		defer close(ended)
 		for {
-			cmd := exec.Command(binary, "--settings-file", file)
+			cmd := exec.Command(p.w.o.Binary, "--settings-file", file)
 			cmd.Stdout, cmd.Stderr = out, out
 			p.mu.Lock()
 			p.highest, p.stopping = 0, false
@@ -252,6 +249,7 @@
 			}
 		}
 	}()
+	return nil
 }
 
 func (p *process) signal(s syscall.Signal) {
@@ -266,6 +264,9 @@
 	}
 }
 
+// disturb notes a fault that is not a signal.
+func (p *process) disturb() { p.signal(0) }
+
 func (p *process) packetsAt() netip.AddrPort { return netip.AddrPortFrom(p.ip, p.w.ports[0]) }
 
 // calm reports whether nothing disturbed the instance or the store lately, so that the
@@ -291,30 +292,29 @@
 	return string(b), err == nil && response.StatusCode == http.StatusOK
 }
 
+// waitReady waits until all instances are ready.
+func (w *world) waitReady(ctx context.Context) error {
+	for end := time.Now().Add(recovery); ; time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, p := range w.instances {
+			if _, ok := p.get(wire.ReadyPath); ok {
+				ready++
+			}
+		}
+		if ready == len(w.instances) {
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("%d of %d instances are ready", ready, len(w.instances))
+		}
+	}
+}
+
 // violate records a broken rule.
 func (w *world) violate(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.violations) < 20 {
+	if len(w.violations) < maxViolations {
 		w.violations = append(w.violations, fmt.Sprintf(format, args...))
 	}
 }
-
-// checkOpen checks a new flow at a server: the right service, and not long after the
-// server said that it leaves.
-func (w *world) checkOpen(s *server, via netip.Addr, to netip.AddrPort) {
-	if (to.Addr() == catalogue.Addr()) != (s.Service == "catalogue") {
-		w.violate("server %s of %s got a flow to %s from %s", s.ID, s.Service, to, via)
-	}
-	s.mu.Lock()
-	drained := s.drained
-	s.mu.Unlock()
-	if drained.IsZero() || time.Since(drained) <= bound {
-		return
-	}
-	for _, p := range w.instances {
-		if p.ip == via && p.calm() {
-			w.violate("server %s got a flow from %s %v after it said that it leaves", s.ID, p.name, time.Since(drained))
-		}
-	}
-}
