Leave departed servers out of the mean of failures

Cause: the mean that a failing server is compared with was taken over all records kept, also those of servers that left, so that after many replacements two of three servers could count as failing at once. Change: only listed servers count, in number and in failures.

--- a/forwarding/outcome.go
+++ b/forwarding/outcome.go
@@ -97,10 +97,10 @@
 // others of its service.
 func (s *server) failing(now time.Duration) bool {
 	own := s.failures.value(now)
-	if own < minFailures {
+	if own < minFailures || !s.listed {
 		return false
 	}
-	others := float64(max(len(s.service.local)+len(s.service.remote)-1, 1))
+	others := float64(max(s.service.listed-1, 1))
 	if own < minFailures+failureContrast*max(s.service.failures-own, 0)/others {
 		return false
 	}
@@ -118,16 +118,34 @@
 	return min(1+s.failures.value(now)/minFailures, maxFailurePenalty)
 }
 
+// countListed counts the servers with a record. Those that left stay in the lists for the
+// lifetime of a flow and must not make the mean of the others look lower.
+func (s *service) countListed() {
+	s.listed = 0
+	for _, servers := range [][]*server{s.local, s.remote} {
+		for _, o := range servers {
+			if o.listed {
+				s.listed++
+			}
+		}
+	}
+}
+
 // sumFailures updates the failures of each service and returns what changed.
 func (e *Engine) sumFailures(now time.Duration) []Action {
 	for _, svc := range e.services {
 		svc.failures = 0
 	}
 	for s := range e.failed {
-		if value := s.failures.value(now); value >= negligibleFailures {
-			s.service.failures += value
-		} else {
+		if value := s.failures.value(now); value < negligibleFailures {
 			s.failures.weight = 0
+		} else if s.listed {
+			s.service.failures += value
+		}
+	}
+	for _, svc := range e.services {
+		if svc.failures > 0 {
+			svc.countListed()
 		}
 	}
 	var actions []Action
--- a/forwarding/outcome_test.go
+++ b/forwarding/outcome_test.go
@@ -127,14 +127,18 @@
 // Guards against a server that flaps and gets its whole share again after each return,
 // and against one that stays excluded after it has become steady.
 func TestFlappingIsDamped(t *testing.T) {
-	e := New(Config{Domain: "a", MaxFlows: 10, Seed: 1})
 	f := newFleet([]float64{1, 1, 1, 1})
-	f.e.cfg = e.cfg
 	s := f.e.byCookie[2][0]
-	s.meter.rate = 10
+	tick := func(from, to time.Duration) {
+		for now := from; now < to; now += 10 * time.Millisecond {
+			f.e.SetPeerLoads(now, "peer", []Load{{Cookie: 2, Rate: 10}})
+			f.e.Tick(now)
+		}
+	}
 	for now := time.Second; now < 8*time.Second; now += 1400 * time.Millisecond {
 		f.e.PeerFailures(now, []uint32{2, 2, 2, 2, 2})
 		f.e.PutServer(now, Server{Name: s.Name, ID: s.ID, Service: "orders", Domain: "a", Slots: 2, Revision: s.Revision + 1, Born: s.Born + 1, Address: s.Address})
+		tick(now, now+1400*time.Millisecond)
 		if !s.failing(now + time.Second) {
 			t.Errorf("not failing %v after a return at %v", time.Second, now)
 		}
@@ -142,6 +146,7 @@
 	if got := s.failurePenalty(8 * time.Second); got < 3 {
 		t.Errorf("penalty %.1f after five times down", got)
 	}
+	tick(8*time.Second, 40*time.Second)
 	if got := s.failurePenalty(40 * time.Second); got != 1 {
 		t.Errorf("penalty %.1f half a minute later", got)
 	}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -36,7 +36,8 @@
 	heads         []*server // that other domains offer
 
 	// Sums over the servers, taken once per interval.
-	failures float64 // weight of the failed requests
+	failures float64 // weight of the failed requests at the listed servers
+	listed   int     // servers with a record; counted while requests fail
 	rate     float64 // requests per second of the own flows
 	flows    int32
 	service  float64 // request times of the measured servers, in nanoseconds
--- a/test/lab/main.go
+++ b/test/lab/main.go
@@ -16,7 +16,7 @@
 	root := &cobra.Command{
 		Use: "lab", Short: "Run deployments of monsoonthread on loopback", SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(standinCommand(), upCommand(), demoCommand(), runCommand(), reportCommand(), soakCommand())
+	root.AddCommand(standinCommand(), upCommand(), demoCommand(), runCommand(), reportCommand(), soakCommand(), worthCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
