Spread the pulls of starting instances over members

Ruled out: compression (BestSpeed already; each answer allocates about 1 MB, which the bound on answers now limits as well); the pushes of the watcher (same at both sizes of the change). Change: at most four answers with all records at a time; others get status and members only, and the start asks up to three random members of its own domain.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,6 +50,7 @@
 	incarnation uint64
 	timing      timing
 	probeSlots  chan struct{}
+	fullAnswers chan struct{} // a slot for each answer with all records
 	storePause  time.Duration // after the last failed call; used by followStore alone
 	peers       *peers
 
@@ -81,6 +82,7 @@
 		peers:       peerSockets,
 		timing:      newTiming(&s),
 		probeSlots:  make(chan struct{}, maxProbes),
+		fullAnswers: make(chan struct{}, maxFullAnswers),
 		mesh:        mesh.New(mesh.Config{Self: self, FreshTime: newTiming(&s).freshTime}),
 		reload:      reload,
 		log:         log,
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// Guards against a start in a store outage that fails because the only seed is busy with
+// other starts: the seed leads to another member.
+func TestBusySeedLeadsToAMember(t *testing.T) {
+	d := newDeployment(t)
+	d.host("i-00000001", "orders", "a", 1)
+	seed := d.start("front-1", "a", 1)
+	member := d.start("front-2", "a", 2, "127.0.2.1:1")
+	d.eventually("both ready and acquainted", patience, func() bool {
+		seed.mu.Lock()
+		defer seed.mu.Unlock()
+		return seed.lifecycle.isReady.Load() && member.lifecycle.isReady.Load() && seed.mesh.Alive(seed.now()) == 1
+	})
+	for range maxFullAnswers {
+		seed.fullAnswers <- struct{}{}
+	}
+	d.store.SetFault(metastore.Silent)
+	late := d.start("front-3", "a", 3, "127.0.2.1:1")
+	d.eventually("the late one ready", patience, late.lifecycle.isReady.Load)
+}
+
 // Guards against flows that break with the instance that opened them, and against
 // packets that are changed on the way.
 func TestFlowSurvivesItsInstance(t *testing.T) {
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -17,6 +17,9 @@
 const (
 	// pullTimeout bounds a pull of records.
 	pullTimeout = time.Second
+	// maxFullAnswers bounds the answers with all records at a time: each takes about 1 MB for
+	// its compression, and 100 instances that start at once would ask the same seed.
+	maxFullAnswers = 4
 )
 
 // peers holds the sockets of the exchange with other instances.
@@ -263,6 +266,8 @@
 	}
 }
 
+// servePull answers with the records after a revision. An answer to a start leaves them out
+// while too many are under way.
 func (f *Forwarder) servePull(conn net.Conn) {
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(pullTimeout)); err != nil {
@@ -273,13 +278,21 @@
 		f.counters.socketErrors.Inc()
 		return
 	}
+	base := request.Update.Base
+	withRecords := true
+	if base == 0 {
+		select {
+		case f.fullAnswers <- struct{}{}:
+			defer func() { <-f.fullAnswers }()
+		default:
+			withRecords = false // the caller asks one of the members
+		}
+	}
 	f.mu.Lock()
 	status := f.status(f.now())
-	base := request.Update.Base
-	answer := exchange.Message{
-		Status:  &status,
-		Update:  directory.Update{Base: base, AsOf: f.table.AsOf(), Records: f.table.Since(base)},
-		Members: f.mesh.Members(),
+	answer := exchange.Message{Status: &status, Members: f.mesh.Members()}
+	if withRecords {
+		answer.Update = directory.Update{Base: base, AsOf: f.table.AsOf(), Records: f.table.Since(base)}
 	}
 	f.mu.Unlock()
 	if err := exchange.WriteFrame(conn, &answer); err != nil {
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +28,8 @@
 	// seedPatience is how long a start waits for its seeds before it reads the store: a
 	// connection within a region and an answer take a few milliseconds.
 	seedPatience = 30 * time.Millisecond
+	// maxFirstPulls bounds the seeds, and then the members, that a start asks.
+	maxFirstPulls = 3
 	// maxListAttempts bounds the attempts to make a stale listing current: about 3 s, after
 	// which serving with records that are seconds old is better than not serving.
 	maxListAttempts = 4
@@ -124,7 +128,7 @@
 func (f *Forwarder) catchUp(ctx context.Context) {
 	asked := make(chan struct{}, 1)
 	go func() {
-		f.pullFromSeeds(ctx)
+		f.pullFirst(ctx)
 		asked <- struct{}{}
 	}()
 	select {
@@ -161,19 +165,35 @@
 	return err
 }
 
-// pullFromSeeds asks the seeds for records, in random order and each a little after the
-// one before, and returns once one of them had current ones or all have answered.
-func (f *Forwarder) pullFromSeeds(ctx context.Context) {
+// pullFirst asks the seeds for records and, if they have none or are busy, some members of
+// which they told.
+func (f *Forwarder) pullFirst(ctx context.Context) {
 	seeds, err := f.settings.Load().SeedAddresses()
-	if err != nil {
+	if err != nil || f.pullFromAny(ctx, seeds) {
 		return
 	}
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	answers := make(chan error, len(seeds))
-	for asked, answered := 0, 0; answered < len(seeds); {
+	f.mu.Lock()
+	members := f.mesh.Members()[1:]
+	f.mu.Unlock()
+	var addresses []netip.AddrPort
+	for _, m := range members {
+		if m.Domain == f.self.Domain && !slices.Contains(seeds, m.Address) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	f.pullFromAny(ctx, addresses)
+}
+
+// pullFromAny asks some addresses, in random order and each a little after the one before.
+// It returns once one of them had current records, or false when all have answered.
+func (f *Forwarder) pullFromAny(ctx context.Context, addresses []netip.AddrPort) bool {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxFirstPulls)]
+	answers := make(chan error, len(addresses))
+	for asked, answered := 0, 0; answered < len(addresses); {
 		var next <-chan time.Time
-		if asked < len(seeds) {
-			a := seeds[asked]
+		if asked < len(addresses) {
+			a := addresses[asked]
 			asked++
 			go func() { answers <- f.pull(ctx, a, 0) }()
 			next = time.After(seedPatience / 2)
@@ -188,9 +208,10 @@
 		fresh := f.mesh.Fresh(f.now())
 		f.mu.Unlock()
 		if fresh {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // list reads all records. A stale listing is complete only up to its oldest page.
