Count no failures just after a start, and probe silent servers less

Change: requests seen within 3 s after a start or a pause never count; a silent server is probed without a pause until its silence is proven, then once a second; the repeated packet that completes the proof resets all flows of the server at once.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -190,7 +190,9 @@
 	d.Response, actions = e.observe(now, f, p)
 	if e.resettable(now, f) {
 		d.Verdict, d.Reason = ResetFlow, ServerDead
+		s := f.server
 		e.drop(f)
+		actions = append(actions, e.resetOthers(now, s)...)
 	}
 	return d, actions
 }
--- a/forwarding/evidence.go
+++ b/forwarding/evidence.go
@@ -66,6 +66,7 @@
 	nextSuspect  time.Duration
 	unproven     bool          // the last silence may have been that of the own link
 	provenAt     time.Duration // last silence that was the server's own
+	flowsReset   time.Duration // when the flows were reset because of it
 	answers      int           // probes in a row that were answered
 	answeredAt   time.Duration // the last of them
 }
@@ -221,7 +222,9 @@
 		return append([]Action{{Kind: TellPeers, Target: s.target(), Server: s.Name}}, e.reopen(now, s)...)
 	}
 	if !e.certainlyUnreachable(now, s) {
-		v.nextProbe = now
+		if s.flows > 0 && v.silent < silentProbes {
+			v.nextProbe = now // its flows wait for the proof
+		}
 		return nil
 	}
 	return e.resetFlows(now, s, false)
@@ -290,6 +293,17 @@
 	return actions
 }
 
+// resetOthers resets the other flows of an unreachable server, once for each proof: their
+// clients would find out only by repeating a request.
+func (e *Engine) resetOthers(now time.Duration, s *server) []Action {
+	v := &s.evidence
+	if v.state != unreachable || v.flowsReset >= v.provenAt {
+		return nil
+	}
+	v.flowsReset = now
+	return e.resetFlows(now, s, false)
+}
+
 // resettable reports whether a packet of the flow is answered with a reset because of
 // its server's state.
 func (e *Engine) resettable(now time.Duration, f *flow) bool {
--- a/forwarding/outcome.go
+++ b/forwarding/outcome.go
@@ -33,6 +33,10 @@
 	negligibleFailures = 0.1
 	// runGap is the time between two ticks from which the process counts as not having run.
 	runGap = 100 * time.Millisecond
+	// Requests seen within settleTime after a start or a pause do not count: clients repeat
+	// and give up what was lost meanwhile. The longest deadline of the users' requests in flight is 4 s, most
+	// are 1.5 to 3 s.
+	settleTime = 3 * time.Second
 )
 
 // failures is the decaying number of failed requests at a server, seen here or told by
@@ -61,7 +65,8 @@
 // checkOverdue counts a request as failed, once, when it has made no progress for long
 // while the process ran.
 func (e *Engine) checkOverdue(now time.Duration, f *flow) {
-	if !f.waiting || f.overdue || now-max(duration(f.sentAt), e.runsSince) < f.server.service.overdueAfter() {
+	sentAt := duration(f.sentAt)
+	if !f.waiting || f.overdue || sentAt < e.runsSince+settleTime || now-sentAt < f.server.service.overdueAfter() {
 		return
 	}
 	f.overdue = true
