--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -5,7 +5,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/admission"
@@ -243,50 +242,6 @@
 	return nil, 0
 }
 
-// expectsCapacity reports whether an assigned server can become usable by itself.
-func (s *Scheduler) expectsCapacity() bool {
-	for _, v := range s.owned {
-		if v.life.State() != backend.Draining {
-			return true
-		}
-	}
-	return false
-}
-
-// takeoverPending reports whether a server is not dispatched yet.
-func (s *Scheduler) takeoverPending() bool {
-	for _, v := range s.owned {
-		if v.role != owner {
-			return true
-		}
-	}
-	return false
-}
-
-// estimate describes the present capacity to the queue.
-func (s *Scheduler) estimate(now time.Time) admission.Estimate {
-	if s.total > 0 {
-		return admission.Estimate{Rate: s.rate, ServiceTime: seconds(s.fastest)}
-	}
-	delay := time.Duration(math.MaxInt64 / 4)
-	rate := 0.0
-	for _, v := range s.owned {
-		if v.life.State() == backend.Draining {
-			continue
-		}
-		rate += float64(v.cfg.Slots) / v.life.ServiceTime().Seconds()
-		switch v.role {
-		case asking:
-			delay = min(delay, s.cfg.HandoverTimeout)
-		case quarantined:
-			delay = min(delay, v.until.Sub(now))
-		case owner: // between probes, or after shed answers
-			delay = min(delay, backend.DefaultShedRecovery)
-		}
-	}
-	return admission.Estimate{Rate: rate, Delay: delay, ServiceTime: seconds(s.fastest)}
-}
-
 // Finish records the outcome of a Run. The caller answers the request itself, except
 // after Shed: the request is then sent to another server or refused by an action.
 func (s *Scheduler) Finish(now time.Time, id uint64, o backend.Outcome, took time.Duration) []Action {
@@ -399,81 +354,3 @@
 	}
 	return nil
 }
-
-// Health records an answer of a server's health or load endpoint.
-func (s *Scheduler) Health(now time.Time, name string, h backend.Health) []Action {
-	if h == backend.HealthDraining {
-		return s.Leave(now, name, backend.NoticeHealth)
-	}
-	v := s.servers[name]
-	if v == nil {
-		return nil
-	}
-	v.life.Health(now, h)
-	return s.settle(nil, now, v)
-}
-
-// Leave stops new work for a server at once. The notice is kept for servers that
-// this instance does not own yet.
-func (s *Scheduler) Leave(now time.Time, name string, source backend.NoticeSource) []Action {
-	if _, known := s.leaving[name]; known {
-		return nil
-	}
-	s.leaving[name] = source
-	v := s.servers[name]
-	if v == nil {
-		return nil
-	}
-	v.life.Leave(now, source)
-	out := []Action{Event{Name: "server_leaving", Server: name, Fields: []string{"source=" + source.String()}}}
-	out = s.settle(out, now, v)
-	return s.refuseStranded(out)
-}
-
-// Return reverses Leave.
-func (s *Scheduler) Return(now time.Time, name string) []Action {
-	delete(s.leaving, name)
-	v := s.servers[name]
-	if v == nil {
-		return nil
-	}
-	v.life.Return(now)
-	return s.settle(nil, now, v)
-}
-
-// refuseStranded refuses what waits when no server can run it any more.
-func (s *Scheduler) refuseStranded(out []Action) []Action {
-	switch {
-	case len(s.owned) == 0:
-		return s.refuseWaiting(out, errNotDispatcher)
-	case s.total == 0 && !s.expectsCapacity():
-		return s.refuseWaiting(out, errNoBackendServer)
-	}
-	return out
-}
-
-// refuseWaiting refuses everything that waits.
-func (s *Scheduler) refuseWaiting(out []Action, err *result.Error) []Action {
-	for _, it := range s.queue.Clear() {
-		out = append(out, refuse(&it, err, 0))
-	}
-	for i := range s.held {
-		out = append(out, refuse(&s.held[i].item, err, 0))
-	}
-	clear(s.held)
-	s.held = s.held[:0]
-	s.waiting = 0
-	return out
-}
-
-// Drain stops accepting requests. What waits is refused as not run, what runs ends.
-func (s *Scheduler) Drain(time.Time) []Action {
-	s.draining = true
-	return s.refuseWaiting(nil, errShuttingDown)
-}
-
-func refuse(it *admission.Item, err *result.Error, after time.Duration) Action {
-	return Refuse{ID: it.ID, Err: err, RetryAfter: after, Payload: it.Payload}
-}
-
-func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
--- /dev/null
+++ b/internal/daemon/backendreceive.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+
+	"github.com/monsoonthread/monsoonthread/edge"
+	"github.com/monsoonthread/monsoonthread/result"
+)
+
+func (b *backendEdge) read(socket int, conn *net.UDPConn) {
+	buffer := make([]byte, 65536)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if b.daemon.life.stopped() {
+				return
+			}
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		m, err := edge.Decode(append([]byte(nil), buffer[:n]...))
+		if err != nil {
+			b.daemon.metrics.dropped(result.CodeOf(err))
+			continue
+		}
+		b.received(socket, from, m)
+	}
+}
+
+// received matches a message of a backend server to the exchange or observation that
+// it belongs to; the sender's address must match too.
+func (b *backendEdge) received(socket int, from netip.AddrPort, m *edge.Message) {
+	if m.Code == edge.Empty {
+		b.receivedEmpty(socket, from, m)
+		return
+	}
+	if len(m.Token) != tokenBytes {
+		b.daemon.metrics.lateAnswers.Inc()
+		return
+	}
+	token := binary.BigEndian.Uint64(m.Token)
+	b.mu.Lock()
+	x := b.byToken[token]
+	if x != nil && x.server.Address != from {
+		x = nil
+	}
+	if x != nil {
+		b.remove(x)
+	}
+	o := b.observations[token]
+	if o != nil && o.addr != from {
+		o = nil
+	}
+	b.mu.Unlock()
+	if o != nil && b.daemon.cutsServerNamed(o.server) {
+		return
+	}
+	if m.Type == edge.Confirmable {
+		b.acknowledge(socket, from, m, x != nil || o != nil)
+	}
+	switch {
+	case x != nil:
+		x.end(m)
+	case o != nil:
+		b.daemon.streams.notified(o, token, m)
+	default:
+		b.daemon.metrics.lateAnswers.Inc()
+		if _, observe := m.Observe(); observe && m.Type == edge.NonConfirmable {
+			// Nobody knows the observation any more, so the server is told to end it.
+			b.write(socket, from, edge.NewEmpty(edge.Reset, m.ID))
+		}
+	}
+}
+
+// acknowledge answers a confirmable message: Reset ends an observation that is not
+// known here (RFC 7641, 3.6).
+func (b *backendEdge) acknowledge(socket int, from netip.AddrPort, m *edge.Message, known bool) {
+	kind := edge.Acknowledgement
+	if _, observe := m.Observe(); observe && !known {
+		kind = edge.Reset
+	}
+	b.write(socket, from, edge.NewEmpty(kind, m.ID))
+}
+
+// receivedEmpty processes an empty acknowledgement or reset.
+func (b *backendEdge) receivedEmpty(socket int, from netip.AddrPort, m *edge.Message) {
+	b.mu.Lock()
+	token, ok := b.byMessage[messageKey{from, socket, m.ID}]
+	x := b.byToken[token]
+	if !ok || x == nil {
+		b.mu.Unlock()
+		return
+	}
+	if m.Type == edge.Acknowledgement {
+		x.acked = true
+		b.mu.Unlock()
+		return
+	}
+	b.remove(x)
+	b.mu.Unlock()
+	x.end(m)
+}
+
+// query sends a GET that occupies no slot, for health and load.
--- /dev/null
+++ b/internal/forwarder/deployment_test.go
@@ -0,0 +1,197 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonthread/monsoonthread/internal/standin/flows"
+	"github.com/monsoonthread/monsoonthread/internal/standin/metastore"
+	"github.com/monsoonthread/monsoonthread/platform/wire"
+)
+
+const (
+	// patience bounds what has to happen at some time.
+	patience = 10 * time.Second
+	// configurationBound is the users' bound on a change of the configuration.
+	configurationBound = 3 * time.Second
+)
+
+// deployment is a set of forwarders with stand-ins of the platform on loopback. Each
+// process has an address of its own and all use the same ports, as on the platform.
+type deployment struct {
+	t         *testing.T
+	store     *metastore.Store
+	storeAddr string
+	ports     [3]uint16 // packets, readiness, peers
+	instances map[string]*instance
+	hosts     map[string]*flows.Host
+	client    *flows.Client
+	version   int
+}
+
+type instance struct {
+	*Forwarder
+	ip     string
+	cancel context.CancelFunc
+	done   chan error
+}
+
+var service = netip.MustParseAddrPort("198.18.0.1:8443")
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, store: metastore.New(), instances: make(map[string]*instance), hosts: make(map[string]*flows.Host)}
+	server := httptest.NewServer(d.store.Handler())
+	t.Cleanup(server.Close)
+	d.storeAddr = strings.TrimPrefix(server.URL, "http://")
+	for i := range d.ports {
+		d.ports[i] = freePort(t)
+	}
+	client, err := flows.StartClient(netip.MustParseAddrPort(fmt.Sprint("127.0.9.1:", d.ports[0])))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Stop)
+	d.client = client
+	d.configure("orders")
+	return d
+}
+
+// freePort returns a port that is free for UDP and TCP on the first instance's address.
+func freePort(t *testing.T) uint16 {
+	l, err := net.Listen("tcp4", "127.0.2.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort().Port()
+}
+
+// configure accepts a configuration that sends the service's address to a service.
+func (d *deployment) configure(name string) {
+	d.version++
+	d.store.Put(wire.ConfigurationKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8443/","kind":"idempotent","service":%q}],"services":[{"name":%q,"healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}}`, d.version, name, name)))
+}
+
+// start starts an instance: name and number of its address. Its metrics address is taken,
+// which must not keep it from working.
+func (d *deployment) start(name, domain string, number int, seeds ...string) *instance {
+	ip := fmt.Sprint("127.0.2.", number)
+	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, d.ports[i]) }
+	s := Settings{
+		InstanceID: name, FailureDomain: domain, MetricsAddress: at(1), DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
+		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, NewFlowsPerPrefix: defaultNewFlowsPerPrefix, MaxFlowLifetime: time.Minute,
+		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, LogLevel: "info",
+	}
+	if err := s.Check(); err != nil {
+		d.t.Fatal(err)
+	}
+	f, err := New(s, func() (Settings, error) { return s, nil }, zerolog.Nop())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{Forwarder: f, ip: ip, cancel: cancel, done: make(chan error, 1)}
+	go func() { i.done <- f.Run(ctx) }()
+	d.instances[name] = i
+	d.t.Cleanup(i.kill)
+	return i
+}
+
+// kill ends the instance without a graceful stop.
+func (i *instance) kill() {
+	i.packets.Close()
+	i.peers.close()
+	i.cancel()
+}
+
+func (i *instance) packetsAt() netip.AddrPort {
+	return netip.MustParseAddrPort(i.settings.Load().DatagramAddress)
+}
+
+// host starts a backend server and registers it.
+func (d *deployment) host(id, service, domain string, number int) *flows.Host {
+	h, err := flows.StartHost(id, service, domain, netip.MustParseAddrPort(fmt.Sprintf("127.0.3.%d:%d", number, d.ports[0])), d.ports[0])
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(h.Stop)
+	d.hosts[id] = h
+	d.store.Put(wire.ServerPrefix+id, h.Entry("ready"))
+	return h
+}
+
+// eventually waits until f holds.
+func (d *deployment) eventually(what string, within time.Duration, f func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(within); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			d.t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+func (d *deployment) ready(i *instance) bool {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d%s", i.ip, d.ports[1], wire.ReadyPath))
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (i *instance) version() uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	v, _ := i.engine.Version()
+	return v
+}
+
+// knows reports whether the instance's table has a record with a part of the value.
+func (i *instance) knows(key, part string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r, ok := i.table.Get(key)
+	return ok && strings.Contains(string(r.Value), part)
+}
+
+// pair starts two instances in one failure domain and a host, and waits until both serve.
+func pair(t *testing.T) (d *deployment, a, b *instance) {
+	d = newDeployment(t)
+	d.host("i-1", "orders", "laval", 1)
+	a = d.start("a", "laval", 1)
+	b = d.start("b", "laval", 2, "127.0.2.1:1")
+	for _, i := range []*instance{a, b} {
+		d.eventually("ready", patience, func() bool { return d.ready(i) && i.knows(wire.ServerPrefix+"i-1", "ready") })
+	}
+	return d, a, b
+}
+
+// open opens a flow through an instance, again if the instance does not know a server yet.
+func (d *deployment) open(via *instance) *flows.Flow {
+	var f *flows.Flow
+	d.eventually("open flow", patience, func() bool {
+		var err error
+		f, err = d.client.Open(service, via.packetsAt(), time.Second)
+		return err == nil
+	})
+	return f
+}
+
+func (d *deployment) request(f *flows.Flow, via *instance, want string) {
+	d.t.Helper()
+	if got, err := f.Request(via.packetsAt(), "x", patience); err != nil || got != want {
+		d.t.Fatalf("answer %q, %v; want %q", got, err, want)
+	}
+}
+
+// Guards against a start in a store outage that fails because the only seed is busy with
+// other starts: the seed leads to another member.
--- /dev/null
+++ b/internal/standin/backendserver/work.go
@@ -0,0 +1,183 @@
+package backendserver
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+)
+
+// replyLocked answers in the acknowledgement, or with a non-confirmable message.
+func (s *Server) replyLocked(ex *exchange, req *message.Message, resp message.Message) {
+	resp.Token = req.Token
+	resp.MessageID = int32(ex.key.id)
+	resp.Type = message.Acknowledgement
+	if req.Type != message.Confirmable {
+		resp.Type = message.NonConfirmable
+		resp.MessageID = int32(s.midLocked(ex.key.remote))
+	}
+	ex.reply = s.sendLocked(resp, ex.key.remote)
+}
+
+func (s *Server) shedLocked(ex *exchange, m *message.Message, text string) {
+	s.replyLocked(ex, m, message.Message{
+		Code: codes.ServiceUnavailable, Options: addUint(nil, message.MaxAge, defaultShedMaxAge), Payload: []byte(text),
+	})
+}
+
+// startLocked runs work in a slot or sheds it.
+func (s *Server) startLocked(now time.Time, ex *exchange, m *message.Message, path string, took time.Duration, resp message.Message) {
+	if !s.drainedAt.IsZero() {
+		s.noteWorkLocked(now)
+		if s.ended {
+			s.shedWorkLocked(now, ex, m, path, "draining")
+			return
+		}
+	}
+	if full := len(s.running) >= s.spec.Slots; full || s.behaviour.ShedAll {
+		if full {
+			s.status.Overruns++
+		}
+		s.shedWorkLocked(now, ex, m, path, "slots busy")
+		return
+	}
+	key := tokenKey{remote: ex.key.remote, token: string(m.Token)}
+	if _, ok := s.running[key]; ok {
+		s.replyLocked(ex, m, message.Message{Code: codes.BadRequest, Payload: []byte("token in use")})
+		return
+	}
+	r := &request{
+		key: key, mid: ex.key, con: m.Type == message.Confirmable, token: slices.Clone(m.Token),
+		start: now, exchange: ex, response: resp,
+		entry: s.entryLocked(now, ex, m, path),
+	}
+	abandon := false
+	if ms, err := m.Options.GetUint32(DeadlineOption); err == nil && time.Duration(ms)*time.Millisecond < took {
+		took, abandon = time.Duration(ms)*time.Millisecond, true
+	}
+	r.separate = took > piggybackLimit
+	s.running[key], s.byMID[ex.key] = r, r
+	s.recordLocked(now)
+	if r.separate && r.con {
+		ex.reply = s.sendLocked(message.Message{Type: message.Acknowledgement, MessageID: m.MessageID}, ex.key.remote)
+	}
+	wait := took - s.debt
+	s.debt = max(0, -wait)
+	planned := now.Add(max(0, wait))
+	r.timer = time.AfterFunc(max(0, wait), func() { s.complete(r, planned, abandon) })
+}
+
+// shedWorkLocked refuses work and logs it if it can be followed by its payload ID.
+func (s *Server) shedWorkLocked(now time.Time, ex *exchange, m *message.Message, path, text string) {
+	s.status.Shed++
+	s.shedLocked(ex, m, text)
+	if e := s.entryLocked(now, ex, m, path); e.PayloadID != "" {
+		e.Shed, e.EndUS, e.Slots = true, e.StartUS, e.Slots-1
+		s.log.append(e)
+	}
+}
+
+// entryLocked is the log entry of a request that starts now.
+func (s *Server) entryLocked(now time.Time, ex *exchange, m *message.Message, path string) Execution {
+	return Execution{
+		Server: s.spec.Name, Service: s.spec.Service, Method: m.Code.String(), Path: path,
+		PayloadID: payloadID(m.Payload), StartUS: now.UnixMicro(), Slots: len(s.running) + 1,
+		Remote: ex.key.remote, MessageID: ex.key.id,
+	}
+}
+
+// complete ends work at its planned time; the lateness of the timer is taken off later
+// work, so that the mean duration is right although timers have a resolution of 1 ms.
+func (s *Server) complete(r *request, planned time.Time, abandoned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.done || s.dead {
+		return
+	}
+	s.debt += min(max(0, time.Since(planned)), maxDebt)
+	s.finishLocked(r, abandoned)
+	resp := r.response
+	if abandoned {
+		resp = message.Message{Code: codes.GatewayTimeout, Payload: []byte("abandoned at the deadline")}
+	}
+	resp.Token = r.token
+	if !r.separate && r.con {
+		resp.Type, resp.MessageID = message.Acknowledgement, int32(r.mid.id)
+		r.exchange.reply = s.sendLocked(resp, r.key.remote)
+		return
+	}
+	mid := s.midLocked(r.key.remote)
+	resp.MessageID, resp.Type = int32(mid), message.NonConfirmable
+	if r.con {
+		resp.Type = message.Confirmable
+	}
+	datagram := s.sendLocked(resp, r.key.remote)
+	if r.con {
+		s.expectAckLocked(messageKey{remote: r.key.remote, id: mid}, datagram, nil)
+	}
+}
+
+// maxDebt bounds the compensation for one timer; a longer delay is a pause of the whole
+// process, which must not be followed by a burst.
+const maxDebt = 5 * time.Millisecond
+
+// finishLocked frees the slot and writes the log entry.
+func (s *Server) finishLocked(r *request, abandoned bool) {
+	if r.done {
+		return
+	}
+	r.done = true
+	now := time.Now()
+	delete(s.running, r.key)
+	delete(s.byMID, r.mid)
+	s.status.Executed++
+	if abandoned {
+		s.status.Abandoned++
+	}
+	s.status.BusyUS += now.Sub(r.start).Microseconds()
+	r.entry.EndUS, r.entry.Abandoned = now.UnixMicro(), abandoned
+	s.log.append(r.entry)
+	s.recordLocked(now)
+}
+
+// durationLocked draws a log-normal duration with the mean, scaled by the speed.
+func (s *Server) durationLocked(now time.Time, meanMS float64) time.Duration {
+	z := min(max(s.rng.NormFloat64(), -maxSigmas), maxSigmas)
+	ms := meanMS * math.Exp(s.spec.Sigma*z-s.spec.Sigma*s.spec.Sigma/2) / s.speedLocked(now)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func (s *Server) speedLocked(now time.Time) float64 {
+	speed := s.spec.Speed
+	if s.behaviour.Speed > 0 {
+		speed = s.behaviour.Speed
+	}
+	cold := time.Duration(s.spec.ColdStartMS) * time.Millisecond
+	if up := now.Sub(s.started); up < cold {
+		share := float64(up) / float64(cold)
+		speed *= s.spec.ColdFactor + (1-s.spec.ColdFactor)*share
+	}
+	return speed
+}
+
+func (s *Server) noteWorkLocked(now time.Time) {
+	s.status.WorkWhileDraining++
+	s.status.LastWorkAfterDrainMS = now.Sub(s.drainedAt).Milliseconds()
+}
+
+func (s *Server) archiveLocked(now time.Time, ex *exchange, m *message.Message, path, name string) {
+	k := archiveKey{service: s.spec.Service, name: name, seed: s.spec.ArchiveSeed, size: s.spec.ArchiveBytes}
+	b, err := requestedBlock(m.Options)
+	first := b.number * b.szx.Size()
+	if err != nil || first >= int64(k.size) {
+		s.replyLocked(ex, m, message.Message{Code: codes.BadRequest, Payload: []byte("no such block")})
+		return
+	}
+	content := s.archives.get(k)
+	last := min(first+b.szx.Size(), int64(k.size))
+	s.startLocked(now, ex, m, path, s.durationLocked(now, s.spec.BlockWorkMS), blockResponse(k, b, content[first:last], last < int64(k.size)))
+}
+
+// midLocked returns the next message ID towards an endpoint.
--- /dev/null
+++ b/test/lab/cluster/callers.go
@@ -0,0 +1,64 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/internal/standin/callers"
+)
+
+// Callers is a running process of callers.
+type Callers struct {
+	*Process
+	Control
+}
+
+// StartCallers starts a process that executes a plan.
+func (c *Cluster) StartCallers(ctx context.Context, name string, plan callers.Plan) (*Callers, error) {
+	b, err := json.Marshal(plan)
+	if err != nil {
+		return nil, err
+	}
+	p, ready, err := c.startStandin(ctx, "callers", name, "--plan", string(b))
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.callers = append(c.callers, p)
+	c.mu.Unlock()
+	return &Callers{Process: p, Control: Control{URL: ready["control"]}}, nil
+}
+
+// Wait waits until the plan has ended and all its requests have an outcome.
+func (c *Callers) Wait(ctx context.Context) error {
+	for {
+		var st callers.Status
+		if err := c.Do(ctx, "GET", "/status", nil, &st); err != nil {
+			return err
+		}
+		if st.Done {
+			return nil
+		}
+		if err := sleep(ctx, 50*time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
+// Report returns what the callers saw between two times since their start.
+func (c *Callers) Report(ctx context.Context, from, to time.Duration) (callers.Report, error) {
+	var r callers.Report
+	path := fmt.Sprintf("/report?from_ms=%d&to_ms=%d", from.Milliseconds(), to.Milliseconds())
+	return r, c.Do(ctx, "GET", path, nil, &r)
+}
+
+// Orders returns the outcomes of the requests with payload IDs.
+func (c *Callers) Orders(ctx context.Context) ([]callers.Order, error) {
+	var all []callers.Order
+	return all, c.Do(ctx, "GET", "/orders", nil, &all)
+}
+
+// Close ends all processes by their process IDs: callers, instances, backend servers,
+// platform. Processes that do not end are killed.
