Let the soak notice a watch that nobody takes over

Change: at rest, the failure domains do not hear each other and the watchers are paused; the others must have the next configuration within its bound of 3 s.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -59,9 +59,9 @@
 	doubted      map[*server]struct{} // servers that are not trusted
 	active       map[*server]struct{} // servers with a rate of requests
 	failed       map[*server]struct{} // servers at which requests failed lately
-	untold       []uint32             // cookies of failures that peers do not know yet
+	unsent       []uint32             // cookies of failures that peers do not know yet
 	tickedAt     time.Duration
-	runsSince    time.Duration // since when no pause between two ticks was long
+	runningSince time.Duration // since when no pause between two ticks was long
 	byAddress    map[netip.AddrPort][]*server
 
 	peerLoads map[string]peerLoads
@@ -236,7 +236,7 @@
 // Tick does what time alone brings about. It is due about every 50 ms.
 func (e *Engine) Tick(now time.Duration) []Action {
 	if now-e.tickedAt > runGap {
-		e.runsSince = now
+		e.runningSince = now
 	}
 	e.tickedAt = now
 	actions := append(e.checkPending(now), e.checkSilence(now)...)
@@ -292,7 +292,7 @@
 		if s.usable() {
 			out.Usable++
 		}
-		if s.failures.told {
+		if s.failures.reported {
 			out.Failing++
 		}
 	}
--- a/forwarding/outcome.go
+++ b/forwarding/outcome.go
@@ -27,8 +27,8 @@
 	// maxFailurePenalty bounds how much busier a failing server is taken to be. It stays
 	// usable, so that the others are not overrun when many fail.
 	maxFailurePenalty = 5.0
-	// maxUntoldFailures bounds the failures that are told to peers in one message.
-	maxUntoldFailures = 64
+	// maxUnsentFailures bounds the failures that are told to peers in one message.
+	maxUnsentFailures = 64
 	// negligibleFailures is the weight at which failures are forgotten.
 	negligibleFailures = 0.1
 	// runGap is the time between two ticks from which the process counts as not having run.
@@ -42,9 +42,9 @@
 // failures is the decaying number of failed requests at a server, seen here or told by
 // peers of the own failure domain.
 type failures struct {
-	weight float64
-	at     time.Duration // of weight
-	told   bool          // whether the server counted as failing at the last interval
+	weight   float64
+	at       time.Duration // of weight
+	reported bool          // whether it counted as failing when that was last logged
 }
 
 // value returns the weight now.
@@ -66,13 +66,13 @@
 // while the process ran.
 func (e *Engine) checkOverdue(now time.Duration, f *flow) {
 	sentAt := duration(f.sentAt)
-	if !f.waiting || f.overdue || sentAt < e.runsSince+settleTime || now-sentAt < f.server.service.overdueAfter() {
+	if !f.waiting || f.overdue || sentAt < e.runningSince+settleTime || now-sentAt < f.server.service.overdueAfter() {
 		return
 	}
 	f.overdue = true
 	e.addFailure(now, f.server)
-	if len(e.untold) < maxUntoldFailures {
-		e.untold = append(e.untold, f.server.cookie)
+	if len(e.unsent) < maxUnsentFailures {
+		e.unsent = append(e.unsent, f.server.cookie)
 	}
 }
 
@@ -84,8 +84,8 @@
 // TakeFailures returns the cookies of the servers at which requests failed since the last
 // call, one for each request. Peers see only a part of a server's requests.
 func (e *Engine) TakeFailures() []uint32 {
-	out := e.untold
-	e.untold = nil
+	out := e.unsent
+	e.unsent = nil
 	return out
 }
 
@@ -155,8 +155,8 @@
 	}
 	var actions []Action
 	for s := range e.failed {
-		if failing := s.failing(now); failing != s.failures.told {
-			s.failures.told = failing
+		if failing := s.failing(now); failing != s.failures.reported {
+			s.failures.reported = failing
 			kind := Favour
 			if failing {
 				kind = Disfavour
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
 	"github.com/monsoonthread/monsoonthread/internal/standin/flows"
 )
 
@@ -180,12 +182,52 @@
 	}
 	w.configure()
 	time.Sleep(bound)
+	w.checkInForce("at rest")
+}
+
+// watches reports whether the instance reads the store itself.
+func (p *process) watches() bool {
+	page, ok := p.get(view.StatusPath)
+	var s view.Status
+	return ok && json.Unmarshal([]byte(page), &s) == nil && s.Watching
+}
+
+// checkTakeover pauses the watchers while the failure domains do not hear each other, and
+// checks that another instance of each domain takes over in time for the next configuration.
+func (w *world) checkTakeover() {
+	if w.o.InstancesPerDomain < 2 {
+		return
+	}
+	for _, p := range w.instances {
+		for _, o := range w.instances {
+			if o.domain() != p.domain() {
+				o.peerAt.setMute(p.ip, true)
+			}
+		}
+	}
+	time.Sleep(calm + calm/2)
+	for _, p := range w.instances {
+		if p.watches() {
+			p.signal(syscall.SIGSTOP)
+		}
+	}
+	w.configure()
+	time.Sleep(bound)
+	w.checkInForce("after the watchers were paused in cut-off domains")
+	for _, p := range w.instances {
+		p.peerAt.heal()
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// checkInForce checks that all calm instances have the present version.
+func (w *world) checkInForce(when string) {
 	for _, p := range w.instances {
 		if !p.calm() {
 			continue
 		}
 		if got, ok := p.version(); !ok || got != uint64(w.version) {
-			w.violate("%s has version %d (%v), %d was accepted %v ago at rest", p.name, got, ok, w.version, bound)
+			w.violate("%s has version %d (%v), %d was accepted %v ago, %s", p.name, got, ok, w.version, bound, when)
 		}
 	}
 }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -46,7 +46,7 @@
 }
 
 // Run injects faults for a time, lets the deployment rest, changes the configuration while
-// watchers are killed, kills all instances, and checks the rules all the while. The error
+// watchers are paused or killed, kills all instances, and checks the rules all the while. The error
 // says that the run itself was not possible.
 func Run(ctx context.Context, o Options) (Result, error) {
 	started := time.Now()
@@ -79,6 +79,7 @@
 		time.Sleep(w.span(500))
 	}
 	w.heal()
+	w.checkTakeover()
 	w.checkChange()
 	w.checkRecovery()
 	cancel()
