--- a/test/lab/worth.go
+++ b/test/lab/worth.go
@@ -154,6 +154,9 @@
 	}
 }
 
+// worthLegendSpace leaves room for the legend beside the longest bar.
+const worthLegendSpace = 1.7
+
 // causeColors tells more causes apart than one palette of the library.
 var causeColors = append(slices.Clone(plotutil.SoftColors), plotutil.DarkColors...)
 
@@ -188,7 +191,7 @@
 		p.Legend.Add(cause, bars)
 	}
 	p.NominalY(names...)
-	p.X.Max *= legendSpace
+	p.X.Max *= worthLegendSpace
 	height := vg.Length(len(days))*vg.Points(barWidth+6) + 3*vg.Centimeter
 	return p.Save(plotWidth, height, file)
 }
