--- a/forwarding/link.go
+++ b/forwarding/link.go
@@ -3,8 +3,7 @@
 import "time"
 
 // The silence of a server may be that of the instance's own link, for example while a
-// large configuration fills it. This file decides when silence is the server's own.
-
+// large configuration fills it.
 const (
 	// linkProofAge is the age up to which a quick answer of another server shows that the
 	// instance's own link works.
--- a/forwarding/outcome.go
+++ b/forwarding/outcome.go
@@ -9,7 +9,8 @@
 	// minOverdue is the least time without any progress after which a request counts as
 	// failed: six times the longest usual waits at a busy server (p99 of 80 to 110 ms).
 	minOverdue = 500 * time.Millisecond
-	// overdueFactor times the usual request time of the service counts where that is more.
+	// overdueFactor times the usual request time of the service applies where that is more,
+	// since a full server queues up to four requests for each slot.
 	overdueFactor = 8
 	// failureHalfLife is the time in which a failure loses half of its weight. A server that
 	// flaps is down again after one to two seconds, so that its failures add up; after its
@@ -34,8 +35,8 @@
 	// runGap is the time between two ticks from which the process counts as not having run.
 	runGap = 100 * time.Millisecond
 	// Requests seen within settleTime after a start or a pause do not count: clients repeat
-	// and give up what was lost meanwhile. The longest deadline of the users' requests in flight is 4 s, most
-	// are 1.5 to 3 s.
+	// and give up what was lost meanwhile. Most deadlines of the users' requests are 0.5 to
+	// 3 s.
 	settleTime = 3 * time.Second
 )
 
