--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -108,7 +108,7 @@
 	flows := make([]view.Flow, len(addresses))
 	held := make([]bool, len(addresses))
 	failures := make([]error, len(addresses))
-	f.each(addresses, func(i int, address string) {
+	each(addresses, func(i int, address string) {
 		held[i], failures[i] = f.get(ctx, address, view.FlowPath+r.Flow, &flows[i])
 	})
 	for i := range addresses {
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -68,23 +67,9 @@
 	return true, nil
 }
 
-// each runs fn for all addresses, some at once.
-func (f *forwarders) each(addresses []string, fn func(i int, address string)) {
-	var wait sync.WaitGroup
-	slots := make(chan struct{}, concurrentCalls)
-	for i, address := range addresses {
-		slots <- struct{}{}
-		wait.Go(func() {
-			fn(i, address)
-			<-slots
-		})
-	}
-	wait.Wait()
-}
-
 func (f *forwarders) statusOf(ctx context.Context, addresses []string) []forwarderStatus {
 	out := make([]forwarderStatus, len(addresses))
-	f.each(addresses, func(i int, address string) {
+	each(addresses, func(i int, address string) {
 		out[i].Address = address
 		found, err := f.get(ctx, address, view.StatusPath, &out[i].Status)
 		switch {
--- a/internal/ctl/instances.go
+++ b/internal/ctl/instances.go
@@ -70,8 +70,8 @@
 	return nil
 }
 
-// each runs f for each address, some at once.
-func (f *fleet) each(addresses []string, fn func(i int, address string)) {
+// each runs fn for each address, some at once.
+func each(addresses []string, fn func(i int, address string)) {
 	var group sync.WaitGroup
 	slots := make(chan struct{}, concurrentCalls)
 	for i, address := range addresses {
@@ -86,7 +86,7 @@
 
 func (f *fleet) statusOf(ctx context.Context, addresses []string) []instanceStatus {
 	out := make([]instanceStatus, len(addresses))
-	f.each(addresses, func(i int, address string) {
+	each(addresses, func(i int, address string) {
 		out[i].address = address
 		out[i].err = f.call(ctx, address, func(ctx context.Context, c peerpb.OperatorClient) (err error) {
 			out[i].reply, err = c.Status(ctx, &peerpb.StatusRequest{})
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -91,7 +91,7 @@
 	}
 	replies := make([]*peerpb.TimelineReply, len(addresses))
 	failures := make([]error, len(addresses))
-	f.each(addresses, func(i int, address string) {
+	each(addresses, func(i int, address string) {
 		failures[i] = f.call(ctx, address, func(ctx context.Context, c peerpb.OperatorClient) (err error) {
 			replies[i], err = c.Timeline(ctx, &peerpb.TimelineRequest{AfterHlc: after, Limit: limit})
 			return err
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -199,11 +199,7 @@
 		return
 	}
 	for _, p := range w.instances {
-		for _, o := range w.instances {
-			if o.domain() != p.domain() {
-				o.peerAt.setMute(p.ip, true)
-			}
-		}
+		w.setMute(p, otherDomains(p), true)
 	}
 	time.Sleep(calm + calm/2)
 	for _, p := range w.instances {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -48,7 +48,7 @@
 	{"domain cut off", func(w *world, p *process) {
 		for _, member := range w.instances {
 			if member.domain() == p.domain() {
-				w.mute(member, func(o *process) bool { return o.domain() != p.domain() })
+				w.mute(member, otherDomains(p))
 			}
 		}
 	}},
@@ -74,15 +74,22 @@
 
 // mute keeps some instances from hearing p for a while.
 func (w *world) mute(p *process, listeners func(*process) bool) {
-	set := func(mute bool) {
-		for _, o := range w.instances {
-			if o != p && listeners(o) {
-				o.peerAt.setMute(p.ip, mute)
-			}
+	w.setMute(p, listeners, true)
+	time.AfterFunc(w.span(4000), func() { w.setMute(p, listeners, false) })
+}
+
+// setMute keeps some instances from hearing p, or lets them hear it again.
+func (w *world) setMute(p *process, listeners func(*process) bool, mute bool) {
+	for _, o := range w.instances {
+		if o != p && listeners(o) {
+			o.peerAt.setMute(p.ip, mute)
 		}
 	}
-	set(true)
-	time.AfterFunc(w.span(4000), func() { set(false) })
+}
+
+// otherDomains selects the instances outside the failure domain of p.
+func otherDomains(p *process) func(*process) bool {
+	return func(o *process) bool { return o.domain() != p.domain() }
 }
 
 func (w *world) setStoreFault(f metastore.Fault, d time.Duration) {
