Settle suspicions about a server by two instances of a failure domain

Cause: each instance probed every server that it suspected.

Change: two instances of a failure domain, found by rendezvous hashing, probe a server for the others. The others ask them, and probe by themselves without an answer after 100 ms, after one answer that contradicts what they see, and before they reset own flows. Reports of a server that is down are repeated by its settlers and expire after 2.5 s. A server is suspected of silence after four times the mean response time of its service (120 to 480 ms). Also mended, each with a test that failed before: a probe that began before a server's restart counted against the new process; the link counted as working in the first 100 ms; SetLeastLoadedServers grew without bound when servers of two domains shared a cookie; service times of peers were cut off at 3.6 s.

A dead server is known to all of them within 2 s (TestDeadServerIsNoticedInTime).

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -35,7 +35,10 @@
 	// NewFlowsPerPrefix limits the new flows per second from one source prefix, with a burst
 	// of twice as many; 0 for no limit.
 	NewFlowsPerPrefix int
-	Seed              uint64
+	// Settles reports whether this instance probes the server with the cookie for its failure
+	// domain. If nil, the instance probes every server that it suspects.
+	Settles func(cookie uint32) bool
+	Seed    uint64
 }
 
 // Engine holds the forwarding state of one instance.
@@ -241,10 +244,7 @@
 	e.lastTick = now
 	actions := append(e.checkPending(now), e.checkSilence(now)...)
 	for s := range e.untrustedServers {
-		h := &s.health
-		if s.listed && !h.replaced && !h.probing && now >= h.nextProbe {
-			actions = append(actions, e.probe(s)...)
-		}
+		actions = append(actions, e.probeAgain(now, s)...)
 	}
 	e.expire(now)
 	e.expirePeerLoads(now)
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -81,6 +81,7 @@
 	if p.Acknowledges && sequenceAfter(p.Acknowledgement, f.ack) {
 		if f.requestPending && p.Length == 0 && p.Acknowledgement-f.ack >= immediateAckBytes {
 			f.server.meter.addSample(now - duration(f.sentAt))
+			f.server.service.recordResponse(now - duration(f.sentAt))
 		}
 		f.ack = p.Acknowledgement
 		elapsed := unknownElapsed
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -13,9 +13,16 @@
 	initialHandshake = 6 * time.Millisecond
 	// handshakeGain is the weight of a new sample in the moving average of handshake times.
 	handshakeGain = 1.0 / 32
-	// silentSuspectAfter is the time without progress on any flow after which a server with
-	// pending requests becomes suspected. The longest requests take about as long.
-	silentSuspectAfter = 120 * time.Millisecond
+	// A server with pending requests becomes suspected after a time without progress on any
+	// flow: silentFactor times the mean response time of its
+	// service, within the bounds below. The longest requests take about as long as the lower
+	// bound. When all servers are overloaded, most requests do, and each would cause a probe
+	// that takes a slot. The upper bound keeps the detection of a dead server within two seconds.
+	silentFactor          = 4
+	minSilentSuspectAfter = 120 * time.Millisecond
+	maxSilentSuspectAfter = 480 * time.Millisecond
+	// responseGain is the weight of a new sample in the moving average of response times.
+	responseGain = 1.0 / 16
 	// suspectRetryInterval is the minimum time between probes of a server that answers them.
 	// It doubles with each answer, up to maxSuspectDoublings times, while missing progress is
 	// the only evidence against the server: requests at a busy server take long, and probes
@@ -73,6 +80,11 @@
 	flowsResetAt       time.Duration // last reset of the server's flows by resetRemainingFlows
 	answeredProbes     int           // consecutive answered probes, up to maxSuspectDoublings
 	answeredAt         time.Duration // last answered probe
+	asked              bool          // the settlers were asked since the server became suspected
+	settledAnswers     int           // consecutive answers of settlers that the server is alive, without progress
+	askedByPeer        bool          // peers wait for the outcome of a probe
+	reported           bool          // unreachable only by a peer's report
+	reportedUntil      time.Duration // end of that report
 }
 
 // ProbeOutcome is the outcome of a probe.
@@ -89,8 +101,9 @@
 
 // setState sets a server's state and updates the set of servers that are not trusted.
 func (e *Engine) setState(s *server, state healthState) {
-	s.health.state = state
+	s.health.state, s.health.reported = state, false
 	if state == trusted {
+		s.health.asked = false
 		delete(e.untrustedServers, s)
 	} else {
 		e.untrustedServers[s] = struct{}{}
@@ -100,8 +113,8 @@
 // recordProgress records progress of the server. elapsed is the time since the packet that it
 // answers.
 func (e *Engine) recordProgress(now time.Duration, s *server, elapsed time.Duration) {
-	s.health.lastProgress, s.health.retransmissions = now, 0
-	if s.health.state == suspected {
+	s.health.lastProgress, s.health.retransmissions, s.health.settledAnswers = now, 0, 0
+	if s.health.state == suspected || s.health.reported {
 		e.setState(s, trusted)
 	}
 	e.recordAnswer(now, s, elapsed)
@@ -112,15 +125,6 @@
 // acknowledgement of earlier data.
 func (s *server) progressedAfter(ms uint32) bool { return millis(s.health.lastProgress) > ms }
 
-// Suspect handles a peer's report that a server appears to be down.
-func (e *Engine) Suspect(now time.Duration, cookie uint32) []Action {
-	var actions []Action
-	for _, s := range e.byCookie[cookie] {
-		actions = append(actions, e.suspect(now, s)...)
-	}
-	return actions
-}
-
 // suspectRefusals suspects the servers of the client's earlier opening packets that are still
 // unanswered: a client whose connection is refused opens the next flow within about a
 // handshake time.
@@ -147,23 +151,24 @@
 	return min(max(time.Duration(e.handshake*openSuspectFactor), minOpenSuspect), maxOpenSuspect)
 }
 
-// suspect marks the server as suspected and probes it, unless a probe is pending or not due.
+// suspect marks the server as suspected and investigates it, unless that is under way or not
+// due.
 func (e *Engine) suspect(now time.Duration, s *server) []Action {
 	h := &s.health
-	if h.probing || h.state >= unreachable || h.replaced || now < h.nextSuspect {
+	if h.probing || h.state >= unreachable && !h.reported || h.replaced || now < h.nextSuspect {
 		return nil
 	}
-	if h.state == trusted {
+	if h.state != suspected {
 		e.setState(s, suspected)
 		h.unansweredProbes = 0
 	}
-	return e.probe(s)
+	return e.investigate(now, s)
 }
 
 func (e *Engine) probe(s *server) []Action {
 	h := &s.health
 	h.probing = true
-	a := Action{Kind: Probe, Target: s.target(), Server: s.Name, Path: s.service.healthPath}
+	a := Action{Kind: Probe, Target: s.target(), Server: s.Name, Path: s.service.healthPath, Incarnation: s.incarnation}
 	if h.state == unreachable || h.inconclusive {
 		a.Reference = e.referenceFor(s)
 	}
@@ -176,12 +181,15 @@
 	Elapsed   time.Duration
 	Stalled   bool // the process was paused during the probe, so a missing answer proves nothing
 	Reference ReferenceOutcome
+	// Incarnation is that of the probe's Action. The result of a probe that began before the
+	// server restarted says nothing about the new process.
+	Incarnation uint32
 }
 
 // ApplyProbeResult handles the result of a probe.
 func (e *Engine) ApplyProbeResult(now time.Duration, name string, r ProbeResult) []Action {
 	s := e.servers[name]
-	if s == nil {
+	if s == nil || r.Incarnation != s.incarnation {
 		return nil
 	}
 	h := &s.health
@@ -190,17 +198,13 @@
 	case Answered, NoValidAnswer:
 		// A server that accepts connections but answers slowly may just be busy.
 		if !h.replaced {
-			e.setState(s, trusted)
-			h.unansweredProbes, h.inconclusive, h.nextSuspect = 0, false, now+suspectRetryInterval
-			if now-h.answeredAt > suspectBackoffReset {
-				h.answeredProbes = 0
-			}
-			h.answeredProbes, h.answeredAt = min(h.answeredProbes+1, maxSuspectDoublings), now
+			e.trustAfterAnswer(now, s)
+			h.settledAnswers = 0
 		}
 		if r.Outcome == Answered {
 			e.recordAnswer(now, s, r.Elapsed)
 		}
-		return nil
+		return e.tellAlive(s)
 	case Refused, OtherServer:
 		return e.declareDead(now, s)
 	}
@@ -217,6 +221,17 @@
 	return e.handleUnansweredProbe(now, s)
 }
 
+// trustAfterAnswer trusts a server that answered a probe of this instance or of a settler.
+func (e *Engine) trustAfterAnswer(now time.Duration, s *server) {
+	h := &s.health
+	e.setState(s, trusted)
+	h.unansweredProbes, h.inconclusive, h.nextSuspect = 0, false, now+suspectRetryInterval
+	if now-h.answeredAt > suspectBackoffReset {
+		h.answeredProbes = 0
+	}
+	h.answeredProbes, h.answeredAt = min(h.answeredProbes+1, maxSuspectDoublings), now
+}
+
 // handleUnansweredProbe handles an unanswered probe that the server itself caused. The first
 // one makes the server unreachable and keeps new flows away; later ones may reset its open
 // flows.
@@ -230,10 +245,11 @@
 	if !e.certainlyUnreachable(now, s) {
 		if s.flows > 0 && h.unansweredProbes < resetUnansweredProbes {
 			h.nextProbe = now // open flows wait for the decision
+			return nil
 		}
-		return nil
+		return e.repeatReport(s)
 	}
-	return e.resetFlows(now, s, false)
+	return append(e.resetFlows(now, s, false), e.repeatReport(s)...)
 }
 
 // certainlyUnreachable reports whether there is enough evidence to reset the flows of a
@@ -250,7 +266,7 @@
 	h := &s.health
 	h.nextProbe = now + downProbeInterval
 	if h.state == dead {
-		return nil
+		return e.repeatReport(s)
 	}
 	e.setState(s, dead)
 	actions := []Action{{Kind: ReportToPeers, Target: s.target(), Server: s.Name}}
@@ -326,13 +342,24 @@
 	var actions []Action
 	for s := range e.busyServers {
 		h := &s.health
-		if now-max(s.pendingSince, h.lastProgress) >= silentSuspectAfter && now >= h.answeredAt+suspectRetryInterval<<h.answeredProbes {
+		if now-max(s.pendingSince, h.lastProgress) >= s.service.silentAfter() && now >= h.answeredAt+suspectRetryInterval<<h.answeredProbes {
 			actions = append(actions, e.suspect(now, s)...)
 		}
 	}
 	return actions
 }
 
+// silentAfter returns the time without progress after which a server with pending requests
+// becomes suspected.
+func (s *service) silentAfter() time.Duration {
+	return min(max(time.Duration(silentFactor*s.responseTime), minSilentSuspectAfter), maxSilentSuspectAfter)
+}
+
+// recordResponse updates the mean response time of the service, queueing included.
+func (s *service) recordResponse(d time.Duration) {
+	s.responseTime += (float64(d) - s.responseTime) * responseGain
+}
+
 // setRequestPending records whether the flow has a pending request.
 func (e *Engine) setRequestPending(now time.Duration, f *flow, pending bool) {
 	if f.requestPending == pending {
--- a/forwarding/link.go
+++ b/forwarding/link.go
@@ -49,7 +49,7 @@
 	if e.quickAnswerServer == s {
 		last = e.otherQuickAnswer
 	}
-	return now-last <= quickAnswerLifetime
+	return last > 0 && now-last <= quickAnswerLifetime
 }
 
 // timeoutConfirmed reports whether the server, and not the own link, caused an unanswered
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -130,6 +130,9 @@
 	}
 	for _, l := range loads {
 		for _, s := range e.byCookie[l.Cookie] {
+			if s.Domain != domain {
+				continue // it has the same cookie, but another domain's report replaces its entry
+			}
 			s.leastLoadedUntil = now + peerLoadLifetime
 			s.service.remoteLeastLoaded = append(s.service.remoteLeastLoaded, s)
 		}
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -118,6 +118,9 @@
 	Probe                             // probe Server at Target and report the result
 	ReportFailing                     // log that Server is failing and gets fewer new flows
 	ReportRecovered                   // log that Server has recovered and gets its share of new flows again
+	AskSettlers                       // ask the settlers of Server whether it is alive
+	TellAlive                         // tell the instances that asked that Server is alive
+	TellDown                          // tell the instances that asked that Server appears to be down
 )
 
 // Action is a task for the engine's owner that is not part of the decision for a packet.
@@ -131,5 +134,8 @@
 	Path      string // path of the health check that identifies the server
 	Reference Target // of a Probe: destination of the reference connection, if it has an address
 	Reason    Reason
-	Failures  float64 // decayed number of failed requests, for ReportFailing and ReportRecovered
+	// Incarnation counts the restarts of Server that this instance knows of. The result of a
+	// Probe returns it.
+	Incarnation uint32
+	Failures    float64 // decayed number of failed requests, for ReportFailing and ReportRecovered
 }
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -44,6 +44,8 @@
 	flows           int32
 	serviceTimeSum  float64 // service times of the measured servers, in nanoseconds
 	measuredServers int32
+
+	responseTime float64 // moving average of response times, queueing included, in nanoseconds
 }
 
 type server struct {
@@ -51,8 +53,9 @@
 	service          *service
 	cookie           uint32
 	local            bool
-	listed           bool // the record exists
-	shadowed         bool // another server with the same cookie has a lower ID
+	listed           bool   // the record exists
+	incarnation      uint32 // restarts that this instance knows of
+	shadowed         bool   // another server with the same cookie has a lower ID
 	removedAt        time.Duration
 	coldUntil        time.Duration
 	leastLoadedUntil time.Duration // until when it counts as reported by its failure domain
@@ -98,7 +101,8 @@
 // the known one is ignored.
 func (e *Engine) PutServer(now time.Duration, in Server) []Action {
 	s := e.servers[in.Name]
-	if s == nil {
+	known := s != nil
+	if !known {
 		s = e.addServer(in)
 	} else if in.Revision <= s.Revision {
 		return nil
@@ -107,6 +111,9 @@
 	e.setRecord(s, in)
 	s.listed = true
 	s.coldUntil = now + in.ColdLeft
+	if restarted && known {
+		s.incarnation++
+	}
 	if restarted {
 		e.setState(s, trusted)
 		s.health = serverHealth{}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,7 +30,7 @@
 	maxConcurrentProbes = 256
 )
 
-// Forwarder is one entry instance. mu guards engine, table and mesh. It is the only lock and
+// Forwarder is one entry instance. mu guards engine, table, mesh and askers. It is the only lock and
 // is never held during I/O.
 type Forwarder struct {
 	settings        atomic.Pointer[Settings]
@@ -58,6 +58,7 @@
 	engine *forwarding.Engine
 	table  *directory.Table
 	mesh   *mesh.Mesh
+	askers askers
 }
 
 // New opens the sockets and returns a forwarder that is ready to run. reload reads the
@@ -92,15 +93,17 @@
 		clientPort:    address.Port(),
 		store:         kv.New(s.StoreAddress, storeCallTimeout),
 		events:        newEventLog(log),
-		engine: forwarding.New(forwarding.Config{
-			Domain:            s.FailureDomain,
-			CookieLifetime:    2 * s.MaxFlowLifetime,
-			MaxFlows:          s.MaxFlows(),
-			NewFlowsPerPrefix: s.NewFlowsPerPrefix,
-			Seed:              rand.Uint64(),
-		}),
-		table: directory.NewTable(2 * s.MaxFlowLifetime),
+		table:         directory.NewTable(2 * s.MaxFlowLifetime),
+		askers:        make(askers),
 	}
+	f.engine = forwarding.New(forwarding.Config{
+		Domain:            s.FailureDomain,
+		CookieLifetime:    2 * s.MaxFlowLifetime,
+		MaxFlows:          s.MaxFlows(),
+		NewFlowsPerPrefix: s.NewFlowsPerPrefix,
+		Settles:           func(cookie uint32) bool { return f.mesh.Settles(f.now(), cookie) },
+		Seed:              rand.Uint64(),
+	})
 	f.settings.Store(&s)
 	f.lifecycle = newLifecycle(log)
 	f.counters = newCounters(f)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -11,11 +11,11 @@
 
 // counters are the metrics of one instance.
 type counters struct {
-	set                                                                                *metrics.Set
-	malformedPackets, socketErrors, proactiveResets, openingPacketsMoved, suspectsSent *metrics.Counter
-	decisions                                                                          [3][forwarding.NumReasons]*metrics.Counter
-	probes                                                                             [len(outcomeNames)]*metrics.Counter
-	handshakes, responses                                                              *metrics.Histogram
+	set                                                                                               *metrics.Set
+	malformedPackets, socketErrors, proactiveResets, openingPacketsMoved, suspectsSent, questionsSent *metrics.Counter
+	decisions                                                                                         [3][forwarding.NumReasons]*metrics.Counter
+	probes                                                                                            [len(outcomeNames)]*metrics.Counter
+	handshakes, responses                                                                             *metrics.Histogram
 }
 
 func newCounters(f *Forwarder) *counters {
@@ -27,6 +27,7 @@
 		proactiveResets:     set.NewCounter("forwarder_flows_reset_total"),
 		openingPacketsMoved: set.NewCounter("forwarder_opening_packets_moved_total"),
 		suspectsSent:        set.NewCounter("forwarder_suspicions_told_total"),
+		questionsSent:       set.NewCounter("forwarder_settlers_asked_total"),
 		handshakes:          set.NewHistogram("forwarder_handshake_seconds"),
 		responses:           set.NewHistogram("forwarder_response_seconds"),
 	}
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -87,6 +87,11 @@
 		case forwarding.ReportToPeers:
 			f.counters.suspectsSent.Inc()
 			f.sendSuspect(a.Target.Cookie)
+		case forwarding.AskSettlers:
+			f.counters.questionsSent.Inc()
+			f.askSettlers(a.Target.Cookie)
+		case forwarding.TellAlive, forwarding.TellDown:
+			f.tellAskers(a.Target.Cookie, a.Kind == forwarding.TellAlive)
 		case forwarding.Probe:
 			go f.probe(a)
 		}
@@ -103,7 +108,7 @@
 	default:
 		// Without a free slot, the probe counts as stalled on this instance.
 		f.mu.Lock()
-		f.engine.ApplyProbeResult(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.ConnectTimeout, Stalled: true})
+		f.engine.ApplyProbeResult(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.ConnectTimeout, Stalled: true, Incarnation: a.Incarnation})
 		f.mu.Unlock()
 		return
 	}
@@ -112,7 +117,7 @@
 	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
 	f.counters.probes[outcome].Inc()
 	now := f.now()
-	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started}
+	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started, Incarnation: a.Incarnation}
 	if outcome == forwarding.ConnectTimeout {
 		r.Reference = <-reference
 		// A late timer means that this process was stalled.
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -69,12 +69,12 @@
 			f.events.logMalformed(from, err)
 			continue
 		}
-		f.handleMessage(m)
+		f.handleMessage(m, from)
 	}
 }
 
 // handleMessage applies a datagram from a peer.
-func (f *Forwarder) handleMessage(m *exchange.Message) {
+func (f *Forwarder) handleMessage(m *exchange.Message, from netip.AddrPort) {
 	now := f.now()
 	f.mu.Lock()
 	if m.Status != nil {
@@ -92,6 +92,13 @@
 	for _, cookie := range m.Suspects {
 		actions = append(actions, f.engine.Suspect(now, cookie)...)
 	}
+	for _, cookie := range m.Asks {
+		f.askers.add(now, cookie, from)
+		actions = append(actions, f.engine.Ask(now, cookie)...)
+	}
+	for _, cookie := range m.Alive {
+		f.engine.SettledAlive(now, cookie)
+	}
 	f.engine.AddPeerFailures(now, m.Failures)
 	f.mu.Unlock()
 	f.perform(actions)
@@ -203,6 +210,26 @@
 	f.sendDatagram(&exchange.Message{Suspects: []uint32{cookie}}, to)
 }
 
+// askSettlers asks the settlers of a server whether it is alive.
+func (f *Forwarder) askSettlers(cookie uint32) {
+	f.mu.Lock()
+	to := f.mesh.Settlers(f.now(), cookie)
+	f.mu.Unlock()
+	f.sendDatagram(&exchange.Message{Asks: []uint32{cookie}}, to)
+}
+
+// tellAskers answers the peers that asked about a server.
+func (f *Forwarder) tellAskers(cookie uint32, alive bool) {
+	f.mu.Lock()
+	to := f.askers.take(f.now(), cookie)
+	f.mu.Unlock()
+	m := exchange.Message{Suspects: []uint32{cookie}}
+	if alive {
+		m = exchange.Message{Alive: []uint32{cookie}}
+	}
+	f.sendDatagram(&m, to)
+}
+
 // pullMissing pulls records from a peer whose revision is ahead, if there is one.
 func (f *Forwarder) pullMissing(ctx context.Context) {
 	f.mu.Lock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -54,6 +54,7 @@
 
 type member struct {
 	Peer
+	placement  placement.Member
 	listed     bool // has a record in the directory
 	status     Status
 	heardAt    time.Duration
@@ -175,7 +176,8 @@
 		slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
 		candidates := make([]placement.Member, len(members))
 		for i, p := range members {
-			candidates[i] = placement.NewMember(p.ID, 1)
+			p.placement = placement.NewMember(p.ID, 1)
+			candidates[i] = p.placement
 		}
 		order := placement.Rank(placement.Key("watch", domain), candidates, nil)
 		sorted := make([]*member, len(order))
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -48,6 +48,8 @@
 
 	Suspects []uint32 // cookies of servers that appear dead to the sender
 	Failures []uint32 // cookies of servers, one for each failed request on the sender's flows
+	Asks     []uint32 // cookies of servers that the sender asks the receiver to probe
+	Alive    []uint32 // cookies of servers that are alive, as the answer to such a question
 }
 
 // Field numbers of a message.
@@ -61,6 +63,8 @@
 	fieldMember      = 7
 	fieldSuspect     = 8
 	fieldFailure     = 9
+	fieldAsk         = 10
+	fieldAlive       = 11
 )
 
 // Append appends the encoded message to b and returns the extended slice.
@@ -83,7 +87,9 @@
 		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
 	}
 	b = appendCookies(b, fieldSuspect, m.Suspects)
-	return appendCookies(b, fieldFailure, m.Failures)
+	b = appendCookies(b, fieldFailure, m.Failures)
+	b = appendCookies(b, fieldAsk, m.Asks)
+	return appendCookies(b, fieldAlive, m.Alive)
 }
 
 func appendCookies(b []byte, field protowire.Number, cookies []uint32) []byte {
@@ -190,6 +196,10 @@
 			m.Suspects = append(m.Suspects, uint32(number))
 		case fieldFailure:
 			m.Failures = append(m.Failures, uint32(number))
+		case fieldAsk:
+			m.Asks = append(m.Asks, uint32(number))
+		case fieldAlive:
+			m.Alive = append(m.Alive, uint32(number))
 		case fieldMember:
 			var p mesh.Peer
 			if err := decodePeer(bytes, &p); err != nil {
@@ -249,9 +259,12 @@
 	})
 }
 
-// maxAge is the upper limit of a received age in milliseconds; higher ages are equivalent. It
-// also limits received service times, there in microseconds.
-const maxAge = uint64(time.Hour / time.Millisecond)
+const (
+	// maxAge is the upper limit of a received age in milliseconds; higher ages are equivalent.
+	maxAge = uint64(time.Hour / time.Millisecond)
+	// maxServiceTime is the upper limit of a received service time in microseconds.
+	maxServiceTime = uint64(time.Hour / time.Microsecond)
+)
 
 func decodeStatus(b []byte, s *mesh.Status) error {
 	return forEachField(b, func(field protowire.Number, bytes []byte, number uint64) error {
@@ -291,7 +304,7 @@
 	}
 	*out = append(*out, forwarding.Load{
 		Cookie: uint32(numbers[0]), Rate: float64(min(numbers[1], maxRate)) / rateScale,
-		ServiceTime: time.Duration(min(numbers[2], maxAge)) * time.Microsecond,
+		ServiceTime: time.Duration(min(numbers[2], maxServiceTime)) * time.Microsecond,
 	})
 	return nil
 }
