First start of a deployment: only the seeds read the store at once

In the first second after a start, peers of higher rank that have not been heard count as candidates for the watch, so that not all instances watch at once.

--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -36,6 +36,7 @@
 	GracePeriod        time.Duration
 	ConfigurationBound time.Duration
 	DrainBound         time.Duration
+	FirstStart         bool
 	LogLevel           string
 }
 
@@ -61,6 +62,7 @@
 	f.DurationVar(&s.GracePeriod, "grace-period", 6*time.Second, "time between SIGTERM and SIGKILL")
 	f.DurationVar(&s.ConfigurationBound, "configuration-bound", 3*time.Second, "time within which an accepted configuration must be in force")
 	f.DurationVar(&s.DrainBound, "drain-bound", 3*time.Second, "time after which a draining server must not get new flows")
+	f.BoolVar(&s.FirstStart, "first-start", false, "the whole deployment starts for the first time, before any traffic: only the seeds read the store at once, others wait for them")
 	f.StringVar(&s.LogLevel, "log-level", "info", "minimum level of log lines: debug, info, warn or error")
 }
 
@@ -173,6 +175,12 @@
 	return out, nil
 }
 
+// isSeed reports whether the instance is one of the seeds.
+func (s *Settings) isSeed() bool {
+	others, err := s.SeedAddresses()
+	return err == nil && s.Seeds != "" && len(others) <= strings.Count(s.Seeds, ",")
+}
+
 // bytesPerFlow is the memory for one flow in the flow table, including the map entry and the
 // unused capacity after the map has grown.
 const bytesPerFlow = 256
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -33,6 +33,11 @@
 	// maxInitialPulls limits how many seeds, and then how many members, a starting instance
 	// pulls from.
 	maxInitialPulls = 3
+	// At the first start of a deployment, before any traffic, an instance that is no seed waits
+	// up to firstStartWait, plus as much at random, for the records of others. Traffic starts 10 s
+	// after the machines do.
+	firstStartWait     = 2 * time.Second
+	firstStartInterval = 100 * time.Millisecond
 	// maxListAttempts limits the attempts to bring a stale listing up to date. They take
 	// about 3 s; after that, serving with records that are seconds old is better than not
 	// serving.
@@ -132,6 +137,9 @@
 // because that puts no load on the store and includes servers that have left. Otherwise it
 // reads the store, and if that fails, it uses the records of any peer.
 func (f *Forwarder) loadInitialRecords(ctx context.Context) {
+	if s := f.settings.Load(); s.FirstStart && s.Seeds != "" && !s.isSeed() {
+		f.waitForSeeds(ctx)
+	}
 	pullDone := make(chan struct{}, 1)
 	go func() {
 		f.pullFromSeeds(ctx)
@@ -158,6 +166,24 @@
 	}
 }
 
+// waitForSeeds pulls from the seeds, or from the members that they report, until the records
+// are current. Each round doubles the number of instances that have records, so that a few
+// readers of the store serve a deployment of any size.
+func (f *Forwarder) waitForSeeds(ctx context.Context) {
+	end := f.now() + firstStartWait + rand.N(firstStartWait)
+	for ctx.Err() == nil && f.now() < end {
+		f.pullFromSeeds(ctx)
+		f.mu.Lock()
+		fresh := f.mesh.Fresh(f.now()) && f.table.AsOf() > 0
+		f.mu.Unlock()
+		if fresh {
+			return
+		}
+		sleep(ctx, firstStartInterval+rand.N(firstStartInterval))
+	}
+	f.log.Warn().Msg("seeds_without_records")
+}
+
 // listAndWatch reads a stale listing and then the current changes since that listing. The
 // listing may be seconds old, but the store can serve it to all instances of a large
 // deployment at once.
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -82,6 +82,7 @@
 	"forwarder grace-period":            {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
 	"forwarder configuration-bound":     {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
 	"forwarder drain-bound":             {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder first-start":             {"", "true or false", []string{"true", "false"}, []string{"", "maybe"}},
 	"forwarder log-level":               {"", levelNames, strings.Split(levelNames, ", "), []string{"", "trace"}},
 }
 
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -50,7 +50,10 @@
 			m.unwatched, m.watching = false, false
 			return false
 		}
-		if p.alive(now, m.aliveTime()) && !p.lostWatch(now) {
+		// After a start, no peer has been heard yet. Without counting them, all instances that
+		// start together would watch.
+		notHeardYet := !p.heard && now < minAliveTime
+		if notHeardYet || p.alive(now, m.aliveTime()) && !p.lostWatch(now) {
 			precedingCandidates, otherCanWatch = precedingCandidates+1, true
 		}
 	}
