Pulls of instances that were cut off include what was removed meanwhile

Cause: a removed record is deleted after its retention time (twice the longest flow). An instance that was cut off for longer pulled the changes since its revision, which no longer contain the removal, counted itself as complete and kept a server that had left.

Change: a table knows the highest revision of a deleted removal; a pull from an earlier revision gets all records, marked as complete, and the others count as removed. TestCutOffTableLearnsOfRemovals fails without it.

--- a/directory/table.go
+++ b/directory/table.go
@@ -34,6 +34,8 @@
 	retention time.Duration
 	entries   map[string]*entry
 	asOf      uint64
+	// forgotten is the highest revision of a removed record that was deleted.
+	forgotten uint64
 }
 
 // NewTable returns an empty table that keeps removed records for the retention time.
@@ -48,12 +50,27 @@
 type Update struct {
 	Base, AsOf uint64
 	Records    []Record
+	// Complete marks the records as all that exist at AsOf: others were removed before.
+	Complete bool
+}
+
+// UpdateSince returns the changes after a revision. If removals since then have been deleted
+// from the table, the update is complete instead: a receiver that was cut off for longer than
+// the retention time would keep the records of servers that left.
+func (t *Table) UpdateSince(base uint64) Update {
+	if base > 0 && base < t.forgotten {
+		return Update{AsOf: t.asOf, Records: t.Since(0), Complete: true}
+	}
+	return Update{Base: base, AsOf: t.asOf, Records: t.Since(base)}
 }
 
 // Apply applies an update and returns the records that changed the table. The table becomes
 // complete up to the update's revision only if it was complete up to the update's base and
 // every delta could be expanded.
 func (t *Table) Apply(now time.Duration, u Update) []Record {
+	if u.Complete {
+		return t.Replace(now, u.Records, u.AsOf)
+	}
 	changed, expanded := t.merge(now, u.Records)
 	if expanded && u.Base <= t.asOf {
 		t.asOf = max(t.asOf, u.AsOf)
@@ -207,6 +224,7 @@
 func (t *Table) Expire(now time.Duration) {
 	for key, e := range t.entries {
 		if e.Removed && now-e.removedAt > t.retention {
+			t.forgotten = max(t.forgotten, e.Revision)
 			delete(t.entries, key)
 		}
 	}
--- a/directory/table_test.go
+++ b/directory/table_test.go
@@ -238,3 +238,22 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a server that left and comes back: an instance that was cut off for longer
+// than the retention time pulls from one that has deleted the removal.
+func TestCutOffTableLearnsOfRemovals(t *testing.T) {
+	const retention = time.Minute
+	current, cutOff := NewTable(retention), NewTable(retention)
+	before := Update{Base: 0, AsOf: 2, Records: []Record{{Key: "servers/a", Value: []byte("a"), Revision: 1}, {Key: "servers/b", Value: []byte("b"), Revision: 2}}}
+	current.Apply(0, before)
+	cutOff.Apply(0, before)
+	current.Apply(0, Update{Base: 2, AsOf: 3, Records: []Record{{Key: "servers/a", Revision: 3, Removed: true}}})
+	current.Expire(2 * retention)
+	cutOff.Apply(2*retention, current.UpdateSince(cutOff.AsOf()))
+	if r, ok := cutOff.Get("servers/a"); ok {
+		t.Errorf("the removed record is in force again: %v", r)
+	}
+	if _, ok := cutOff.Get("servers/b"); !ok || cutOff.AsOf() != 3 {
+		t.Errorf("after the pull: b known %v, complete up to %d; want true, 3", ok, cutOff.AsOf())
+	}
+}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -102,7 +102,7 @@
 	f.engine.AddPeerFailures(now, m.Failures)
 	f.mu.Unlock()
 	f.perform(actions)
-	if len(m.Update.Records) > 0 {
+	if len(m.Update.Records) > 0 && !m.Update.Complete { // a complete update comes only as the answer to a pull
 		f.applyUpdate(m.Update)
 	}
 }
@@ -323,7 +323,7 @@
 	status := f.status(f.now())
 	response := exchange.Message{Status: &status, Members: f.mesh.Members()}
 	if withRecords {
-		response.Update = directory.Update{Base: base, AsOf: f.table.AsOf(), Records: f.table.Since(base)}
+		response.Update = f.table.UpdateSince(base)
 	}
 	f.mu.Unlock()
 	if err := exchange.WriteFrame(conn, &response); err != nil {
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -65,6 +65,7 @@
 	fieldFailure     = 9
 	fieldAsk         = 10
 	fieldAlive       = 11
+	fieldComplete    = 12
 )
 
 // Append appends the encoded message to b and returns the extended slice.
@@ -83,6 +84,7 @@
 	}
 	b = appendUint(b, fieldBase, m.Update.Base)
 	b = appendUint(b, fieldAsOf, m.Update.AsOf)
+	b = appendBool(b, fieldComplete, m.Update.Complete)
 	for i := range m.Members {
 		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
 	}
@@ -192,6 +194,8 @@
 			m.Update.Base = number
 		case fieldAsOf:
 			m.Update.AsOf = number
+		case fieldComplete:
+			m.Update.Complete = number != 0
 		case fieldSuspect:
 			m.Suspects = append(m.Suspects, uint32(number))
 		case fieldFailure:
