Serve from the first pages of the listing after a start

Clients that sent just before power returned repeat only after their deadline.

Change: a stale listing reads configuration, servers and instances in this order and applies each page at once; until the records are complete, flows that cannot be served are dropped instead of reset, so that the client repeats the packet; the initial records are logged in one line.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -47,6 +47,7 @@
 	rng                *rand.Rand
 	version            uint64
 	configured         bool
+	complete           bool          // the records include all servers and the current configuration
 	configuredAt       time.Duration // time of the first configuration
 	idleTimeout        time.Duration
 	routes             map[routeKey]*route
@@ -115,6 +116,19 @@
 // instant converts an engine time for packages that use time.Time.
 func instant(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
 
+// SetComplete records that all records are known. Until then, the engine forwards what it can
+// and drops the rest: a client repeats a packet, but a reset ends its attempt, and a missing
+// route or server proves nothing yet.
+func (e *Engine) SetComplete() { e.complete = true }
+
+// refuse returns the decision for a new flow that cannot be served.
+func (e *Engine) refuse(reason Reason) Decision {
+	if !e.complete {
+		return Decision{Verdict: Drop, Reason: NotServing}
+	}
+	return Decision{Verdict: ResetFlow, Reason: reason}
+}
+
 // Packet makes the decision for a client's packet. raw is the packet itself; the engine
 // copies an opening packet so that it can be sent to another server.
 func (e *Engine) Packet(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
@@ -130,7 +144,7 @@
 func (e *Engine) openFlow(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
 	r := e.routes[routeKey{p.Flow.Service, p.Flow.ServicePort}]
 	if r == nil {
-		return Decision{Verdict: ResetFlow, Reason: NoRoute}, nil
+		return e.refuse(NoRoute), nil
 	}
 	f := e.flows[p.Flow]
 	if f != nil && f.state == opening && (f.server.health.state <= suspected) {
@@ -147,7 +161,7 @@
 	actions := e.suspectRefusals(now, p.Flow)
 	s := e.choose(now, r)
 	if s == nil {
-		return Decision{Verdict: ResetFlow, Reason: NoServer}, actions
+		return e.refuse(NoServer), actions
 	}
 	if f != nil {
 		e.removeFlow(f)
--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -21,7 +21,9 @@
 }
 
 func newScript() *script {
-	return &script{e: New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 1000, NewFlowsPerPrefix: 500, Seed: 1})}
+	e := New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 1000, NewFlowsPerPrefix: 500, Seed: 1})
+	e.SetComplete()
+	return &script{e: e}
 }
 
 // Guards against wrong decisions about single packets, servers and flows. The head of each
--- a/forwarding/settle_test.go
+++ b/forwarding/settle_test.go
@@ -309,3 +309,25 @@
 		t.Errorf("%d least-loaded servers after 1000 reports of one, want 1", n)
 	}
 }
+
+// Guards against resets by an instance that has read only a part of the records: after a loss of
+// power, all packets reach instances that are still starting.
+func TestStartingInstanceResetsNoFlow(t *testing.T) {
+	e := New(Config{Domain: "a", CookieLifetime: time.Minute, MaxFlows: 10})
+	e.Configure(0, &Configuration{Version: 1, Routes: []Route{{Address: 1, Port: 443, Services: []ServiceWeight{{"orders", 1}}}}})
+	opening := Packet{Flow: FlowKey{Client: 1, Service: 1, ServicePort: 443}, Open: true}
+	noRoute := Packet{Flow: FlowKey{Client: 1, Service: 2, ServicePort: 443}, Open: true}
+	for _, p := range []Packet{opening, noRoute} {
+		if d, _ := e.Packet(0, p, nil); d.Verdict != Drop {
+			t.Errorf("before the records are complete: verdict %v, want Drop", d.Verdict)
+		}
+	}
+	e.PutServer(0, Server{Name: "s1", ID: 1, Service: "orders", Domain: "a", Slots: 2, Revision: 1})
+	if d, _ := e.Packet(0, opening, nil); d.Verdict != Forward {
+		t.Errorf("with the first server: verdict %v, want Forward", d.Verdict)
+	}
+	e.SetComplete()
+	if d, _ := e.Packet(0, noRoute, nil); d.Verdict != ResetFlow {
+		t.Errorf("with complete records: verdict %v, want ResetFlow", d.Verdict)
+	}
+}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -78,8 +78,7 @@
 // watcher of its failure domain; otherwise the records come from peers.
 func (f *Forwarder) syncWithStore(ctx context.Context) {
 	f.loadInitialRecords(ctx)
-	f.initialSyncDone.Store(true)
-	f.checkReady()
+	f.finishInitialSync()
 	listed := f.hasRecords()
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -100,6 +99,17 @@
 	}
 }
 
+// finishInitialSync lets the engine refuse flows and the instance become ready.
+func (f *Forwarder) finishInitialSync() {
+	f.mu.Lock()
+	f.engine.SetComplete()
+	stats, revision := f.engine.Stats(), f.table.AsOf()
+	f.mu.Unlock()
+	f.initialSyncDone.Store(true)
+	f.log.Info().Int("servers", stats.Listed).Uint64(logging.Version, stats.Version).Uint64("revision", revision).Msg("records_loaded")
+	f.checkReady()
+}
+
 // recordStoreCall reports the result of a store call to the mesh and waits after a failure.
 func (f *Forwarder) recordStoreCall(ctx context.Context, err error) {
 	code := result.CodeOf(err)
@@ -248,24 +258,37 @@
 	return false
 }
 
+// listingPrefixes are the key prefixes of a stale listing, in the order in which a starting
+// instance needs the records: at 20 Mbit/s, the listing of 600 servers takes 160 ms, and clients
+// send again meanwhile.
+var listingPrefixes = []string{wire.ConfigurationKey, wire.ServerPrefix, instancePrefix}
+
 // list reads all records. If stale is set, the store may return pages of older revisions; the
-// listing is then complete only up to the revision of the oldest page.
+// listing is then complete only up to the revision of the oldest page. The engine gets each page
+// as soon as it arrives.
 func (f *Forwarder) list(ctx context.Context, stale bool) error {
+	prefixes := []string{allKeysPrefix}
+	if stale {
+		prefixes = listingPrefixes
+	}
 	var records []directory.Record
 	var asOf uint64
-	for after := ""; ; {
-		page, err := f.store.Range(ctx, allKeysPrefix, after, stale)
-		if err != nil {
-			return err
-		}
-		if asOf == 0 || page.AsOf < asOf {
-			asOf = page.AsOf
-		}
-		records = append(records, toRecords(page.Items)...)
-		if !page.More || len(page.Items) == 0 {
-			break
+	for _, prefix := range prefixes {
+		for after, more := "", true; more; {
+			page, err := f.store.Range(ctx, prefix, after, stale)
+			if err != nil {
+				return err
+			}
+			if asOf == 0 || page.AsOf < asOf {
+				asOf = page.AsOf
+			}
+			items := toRecords(page.Items)
+			f.applyUpdate(directory.Update{Records: items})
+			records = append(records, items...)
+			if more = page.More && len(page.Items) > 0; more {
+				after = page.Items[len(page.Items)-1].Key
+			}
 		}
-		after = page.Items[len(page.Items)-1].Key
 	}
 	f.mu.Lock()
 	changed := f.table.Replace(f.now(), records, asOf)
@@ -359,9 +382,12 @@
 	f.mu.Lock()
 	actions := put(f.now(), s)
 	f.mu.Unlock()
+	f.perform(actions)
+	if !f.initialSyncDone.Load() {
+		return // a line for each of hundreds of servers would delay the start by 70 ms
+	}
 	f.events.newEvent(zerolog.InfoLevel).Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
 		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.StartedAt).Uint64("revision", r.Revision).Msg("server")
-	f.perform(actions)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
