Reset idle flows of an unreachable server on the evidence of a peer

Cause: an instance resets flows of a silent server only after two client retransmissions that it saw itself.

Change: an instance that resets its flows tells the others in its failure domain. TestIdleFlowsOfDeadServerAreReset fails without it (0 of 59 idle flows reset).

--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -82,6 +82,8 @@
 	answeredAt         time.Duration // last answered probe
 	asked              bool          // the settlers were asked since the server became suspected
 	settledAnswers     int           // consecutive answers of settlers that the server is alive, without progress
+	peerConfirmedAt    time.Duration // last report of a peer that it resets its flows at the server
+	confirmedAt        time.Duration // last own report of that kind
 	askedByPeer        bool          // peers wait for the outcome of a probe
 	reported           bool          // unreachable only by a peer's report
 	reportedUntil      time.Duration // end of that report
@@ -249,14 +251,17 @@
 		}
 		return e.repeatReport(s)
 	}
-	return append(e.resetFlows(now, s, false), e.repeatReport(s)...)
+	actions := append(e.confirmToPeers(now, s), e.resetFlows(now, s, false)...)
+	return append(actions, e.repeatReport(s)...)
 }
 
 // certainlyUnreachable reports whether there is enough evidence to reset the flows of a
 // server whose address has not refused a connection.
 func (e *Engine) certainlyUnreachable(now time.Duration, s *server) bool {
 	h := &s.health
-	return h.state == unreachable && h.unansweredProbes >= resetUnansweredProbes && h.retransmissions >= resetRetransmissions &&
+	retransmitted := h.retransmissions >= resetRetransmissions ||
+		h.peerConfirmedAt > h.lastProgress && now-h.peerConfirmedAt <= confirmedTimeoutLifetime
+	return h.state == unreachable && h.unansweredProbes >= resetUnansweredProbes && retransmitted &&
 		now-h.lastProgress >= resetUnreachableAfter && now-h.timeoutConfirmedAt <= confirmedTimeoutLifetime
 }
 
@@ -325,7 +330,7 @@
 		return nil
 	}
 	h.flowsResetAt = now
-	return e.resetFlows(now, s, false)
+	return append(e.confirmToPeers(now, s), e.resetFlows(now, s, false)...)
 }
 
 // shouldReset reports whether a packet of the flow is answered with a reset because its
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -120,6 +120,7 @@
 	ReportRecovered                   // log that Server has recovered and gets its share of new flows again
 	AskSettlers                       // ask the settlers of Server whether it is alive
 	TellAlive                         // tell the instances that asked that Server is alive
+	ConfirmToPeers                    // tell the instances of the failure domain that this one resets its flows at Server
 	TellDown                          // tell the instances that asked that Server appears to be down
 )
 
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -141,6 +141,40 @@
 	h.unansweredProbes, h.reported, h.reportedUntil = 0, true, now+reportLifetime
 }
 
+// confirmToPeers tells the peers that this instance resets its flows at the server, provided
+// that it has seen client retransmissions itself.
+func (e *Engine) confirmToPeers(now time.Duration, s *server) []Action {
+	h := &s.health
+	if e.cfg.Settles == nil || h.retransmissions < resetRetransmissions || h.confirmedAt > 0 && now-h.confirmedAt < downProbeInterval {
+		return nil
+	}
+	h.confirmedAt = now
+	return []Action{{Kind: ConfirmToPeers, Target: s.target(), Server: s.Name}}
+}
+
+// ConfirmUnreachable handles the report of a peer that it resets its flows at a server. It takes
+// the place of client retransmissions, which an instance with a few idle flows does not see: the
+// first request on each of these flows would be lost. Own unanswered probes stay a condition.
+func (e *Engine) ConfirmUnreachable(now time.Duration, cookie uint32) []Action {
+	var actions []Action
+	for _, s := range e.byCookie[cookie] {
+		if s.flows == 0 || !s.listed {
+			continue
+		}
+		h := &s.health
+		h.peerConfirmedAt = now
+		switch {
+		case e.certainlyUnreachable(now, s):
+			actions = append(actions, e.resetFlows(now, s, false)...)
+		case h.state == unreachable && !h.probing && !h.reported:
+			actions = append(actions, e.probe(s)...)
+		default:
+			actions = append(actions, e.suspectWithProbe(now, s)...)
+		}
+	}
+	return actions
+}
+
 // repeatReport reports a server that is still down, so that the peers that rely on this
 // settler keep new flows away.
 func (e *Engine) repeatReport(s *server) []Action {
--- a/forwarding/settle_test.go
+++ b/forwarding/settle_test.go
@@ -21,6 +21,7 @@
 	askers  []map[uint32][]int       // by instance and cookie
 	down    map[string]time.Duration // since when a server is down
 	probes  map[string]int           // probes of each server
+	resets  map[string]int           // flows of each server that were reset by a timer or message
 }
 
 type simEvent struct {
@@ -29,7 +30,7 @@
 }
 
 func newSuspicionSim(instances, servers int, settle bool) *suspicionSim {
-	s := &suspicionSim{askers: make([]map[uint32][]int, instances), down: make(map[string]time.Duration), probes: make(map[string]int)}
+	s := &suspicionSim{askers: make([]map[uint32][]int, instances), down: make(map[string]time.Duration), probes: make(map[string]int), resets: make(map[string]int)}
 	peer := func(i int) mesh.Peer {
 		return mesh.Peer{ID: fmt.Sprint("i", i), Domain: "a", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7720)}
 	}
@@ -105,22 +106,27 @@
 				s.at(s.now+time.Millisecond, func() { s.receive(j, cookie, a.Kind) })
 			}
 			delete(s.askers[i], cookie)
-		case ReportToPeers:
+		case ReportToPeers, ConfirmToPeers:
 			for j := range s.engines {
 				if j != i {
-					s.at(s.now+time.Millisecond, func() { s.receive(j, cookie, TellDown) })
+					s.at(s.now+time.Millisecond, func() { s.receive(j, cookie, a.Kind) })
 				}
 			}
+		case SendReset:
+			s.resets[a.Server]++
 		}
 	}
 }
 
 func (s *suspicionSim) receive(j int, cookie uint32, kind ActionKind) {
-	if kind == TellAlive {
+	switch kind {
+	case TellAlive:
 		s.engines[j].SettledAlive(s.now, cookie)
-		return
+	case ConfirmToPeers:
+		s.perform(j, s.engines[j].ConfirmUnreachable(s.now, cookie))
+	default:
+		s.perform(j, s.engines[j].Suspect(s.now, cookie))
 	}
-	s.perform(j, s.engines[j].Suspect(s.now, cookie))
 }
 
 func (s *suspicionSim) probe(i int, a Action) {
@@ -331,3 +337,28 @@
 		t.Errorf("with complete records: verdict %v, want ResetFlow", d.Verdict)
 	}
 }
+
+// Guards against idle flows at a dead server that stay until their next request is lost: with
+// hundreds of instances, most of them have a few idle flows at it and see no retransmission.
+func TestIdleFlowsOfDeadServerAreReset(t *testing.T) {
+	for _, instances := range []int{2, 20, 60} {
+		s := newSuspicionSim(instances, 3, true)
+		died := 2 * time.Second
+		s.down["s1"] = died
+		for i := range instances {
+			for n := range 3 {
+				for at := time.Second; at < died; at += 100 * time.Millisecond {
+					s.request(i, n, uint16(n+1), at, 30*time.Millisecond)
+				}
+				if n > 0 { // the other servers go on; s1 gets a single request, through the first instance
+					s.request(i, n, uint16(n+1), died+10*time.Millisecond, 30*time.Millisecond)
+				}
+			}
+		}
+		s.request(0, 0, 1, died+10*time.Millisecond, 0)
+		s.run(died + 1500*time.Millisecond)
+		if s.resets["s1"] < instances-1 || s.resets["s2"]+s.resets["s3"] > 0 {
+			t.Errorf("%d instances: %d idle flows of the dead server reset, want %d; %d of live servers, want 0", instances, s.resets["s1"], instances-1, s.resets["s2"]+s.resets["s3"])
+		}
+	}
+}
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -82,7 +82,7 @@
 	e.Msg(actionEvents[a.Kind])
 }
 
-var actionEvents = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected", "server_disfavoured", "server_favoured", "settlers_asked", "askers_told_alive", "askers_told_down"}
+var actionEvents = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected", "server_disfavoured", "server_favoured", "settlers_asked", "askers_told_alive", "peers_told_of_resets", "askers_told_down"}
 
 func (l *eventLog) logProbe(server string, r forwarding.ProbeResult, err error) {
 	e := l.newEvent(zerolog.InfoLevel)
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/peer/exchange"
 	"github.com/monsoonthread/monsoonthread/platform/health"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
@@ -86,7 +87,9 @@
 			f.sendToServer(append(b, a.Packet...), a.Target)
 		case forwarding.ReportToPeers:
 			f.counters.suspectsSent.Inc()
-			f.sendSuspect(a.Target.Cookie)
+			f.sendToDomain(&exchange.Message{Suspects: []uint32{a.Target.Cookie}})
+		case forwarding.ConfirmToPeers:
+			f.sendToDomain(&exchange.Message{Resets: []uint32{a.Target.Cookie}})
 		case forwarding.AskSettlers:
 			f.counters.questionsSent.Inc()
 			f.askSettlers(a.Target.Cookie)
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -96,6 +96,9 @@
 		f.askers.add(now, cookie, from)
 		actions = append(actions, f.engine.Ask(now, cookie)...)
 	}
+	for _, cookie := range m.Resets {
+		actions = append(actions, f.engine.ConfirmUnreachable(now, cookie)...)
+	}
 	for _, cookie := range m.Alive {
 		f.engine.SettledAlive(now, cookie)
 	}
@@ -202,12 +205,12 @@
 	f.sendEncoded(b, to)
 }
 
-// sendSuspect reports a server that appears dead to the peers in the same failure domain.
-func (f *Forwarder) sendSuspect(cookie uint32) {
+// sendToDomain sends a message to the peers in the same failure domain.
+func (f *Forwarder) sendToDomain(m *exchange.Message) {
 	f.mu.Lock()
 	to := f.mesh.AliveDomainPeers(f.now())
 	f.mu.Unlock()
-	f.sendDatagram(&exchange.Message{Suspects: []uint32{cookie}}, to)
+	f.sendDatagram(m, to)
 }
 
 // askSettlers asks the settlers of a server whether it is alive.
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -49,6 +49,7 @@
 	Suspects []uint32 // cookies of servers that appear dead to the sender
 	Failures []uint32 // cookies of servers, one for each failed request on the sender's flows
 	Asks     []uint32 // cookies of servers that the sender asks the receiver to probe
+	Resets   []uint32 // cookies of unreachable servers whose flows the sender resets
 	Alive    []uint32 // cookies of servers that are alive, as the answer to such a question
 }
 
@@ -66,6 +67,7 @@
 	fieldAsk         = 10
 	fieldAlive       = 11
 	fieldComplete    = 12
+	fieldReset       = 13
 )
 
 // Append appends the encoded message to b and returns the extended slice.
@@ -91,6 +93,7 @@
 	b = appendCookies(b, fieldSuspect, m.Suspects)
 	b = appendCookies(b, fieldFailure, m.Failures)
 	b = appendCookies(b, fieldAsk, m.Asks)
+	b = appendCookies(b, fieldReset, m.Resets)
 	return appendCookies(b, fieldAlive, m.Alive)
 }
 
@@ -202,6 +205,8 @@
 			m.Failures = append(m.Failures, uint32(number))
 		case fieldAsk:
 			m.Asks = append(m.Asks, uint32(number))
+		case fieldReset:
+			m.Resets = append(m.Resets, uint32(number))
 		case fieldAlive:
 			m.Alive = append(m.Alive, uint32(number))
 		case fieldMember:
