Register instances by the watcher of their failure domain, many with one call

Change: the watcher registers all instances of its failure domain that the directory lacks, up to 32 with a call, under its own lease, and removes entries of instances that were silent for as long as a lease. An instance that stays unregistered for 15 s registers itself.

--- a/internal/forwarder/registration.go
+++ b/internal/forwarder/registration.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonthread/monsoonthread/directory"
 	"github.com/monsoonthread/monsoonthread/internal/logging"
 	"github.com/monsoonthread/monsoonthread/mesh"
+	"github.com/monsoonthread/monsoonthread/platform/kv"
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
@@ -22,8 +23,15 @@
 	registrationLeaseTTL = 10 * time.Minute
 	// leaseRenewInterval leaves time for a second renewal attempt within the lease.
 	leaseRenewInterval = 4 * time.Minute
+	// registrationInterval is the time between checks for instances that the directory lacks.
+	registrationInterval = 2 * time.Second
+	// ownRegistrationDelay is how long an instance waits for the watcher of its failure domain
+	// to register it.
+	ownRegistrationDelay = 15 * time.Second
 	// registrationRetryDelay is the delay after a failed registration.
 	registrationRetryDelay = 2 * time.Second
+	// maxRegistrations is the maximum number of writes in one call to the store.
+	maxRegistrations = 32
 )
 
 // instanceRecord is the value stored under an instance's key.
@@ -32,66 +40,129 @@
 	Address netip.AddrPort `json:"address"`
 }
 
-// register keeps this instance registered in the directory. If an entry of an earlier
-// incarnation still exists, it is rewritten under a new lease only later, so that restarts
-// cause no store calls.
+// register keeps the directory of instances complete. The watcher of a failure domain registers
+// all of its instances, many with one call: calls to the store are priced, and with hundreds of
+// instances, two by each were most of all calls of a quiet day.
 func (f *Forwarder) register(ctx context.Context) {
-	for ctx.Err() == nil && !f.hasRecords() {
-		sleep(ctx, pollInterval)
-	}
-	if f.isRegistered() {
-		sleep(ctx, leaseRenewInterval/2+rand.N(leaseRenewInterval/2))
-	}
-	var lease uint64
+	r := registrar{f: f, unregisteredSince: -1}
 	for ctx.Err() == nil {
-		var err error
-		if lease, err = f.renewRegistration(ctx, lease); err != nil {
+		sleep(ctx, registrationInterval/2+rand.N(registrationInterval))
+		if ctx.Err() != nil || !f.hasRecords() {
+			continue
+		}
+		if err := r.update(ctx); err != nil {
 			f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("registration_failed")
 			sleep(ctx, registrationRetryDelay+rand.N(registrationRetryDelay))
-			continue
 		}
-		f.waitUntilUnlisted(ctx, leaseRenewInterval)
 	}
 }
 
-// renewRegistration renews the lease, or grants a new lease and writes the entry under it.
-func (f *Forwarder) renewRegistration(ctx context.Context, lease uint64) (uint64, error) {
-	if lease != 0 && f.isRegistered() {
-		err := f.store.Renew(ctx, lease)
-		if result.CodeOf(err) != result.StoreNotFound {
-			return lease, err
+// registrar writes entries of the instance directory under a lease of this instance.
+type registrar struct {
+	f                 *Forwarder
+	lease             uint64 // 0 for none
+	renewedAt         time.Duration
+	unregisteredSince time.Duration // since when this instance's own entry is missing; -1 if it is not
+}
+
+func (r *registrar) update(ctx context.Context) error {
+	now := r.f.now()
+	if r.lease != 0 && now-r.renewedAt >= leaseRenewInterval {
+		err := r.f.store.Renew(ctx, r.lease)
+		if result.CodeOf(err) == result.StoreNotFound {
+			r.lease = 0 // its entries are gone; they are written again below
+		} else if err != nil {
+			return err
 		}
+		r.renewedAt = now
 	}
-	lease, err := f.store.Grant(ctx, registrationLeaseTTL)
-	if err != nil {
-		return 0, err
-	}
-	value, err := json.Marshal(instanceRecord{f.self.Domain, f.self.Address})
-	if err != nil {
-		return 0, err
+	peers := r.due(now)
+	if len(peers) == 0 {
+		return r.removeSilent(ctx, now)
 	}
-	return lease, f.store.Put(ctx, instancePrefix+f.self.ID, value, lease)
+	return r.write(ctx, now, peers)
 }
 
-// isRegistered reports whether the directory contains this instance with its current address.
-func (f *Forwarder) isRegistered() bool {
+// due returns the instances that this one has to register now.
+func (r *registrar) due(now time.Duration) []mesh.Peer {
+	f := r.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r, ok := f.table.Get(instancePrefix + f.self.ID)
-	if !ok {
-		return false
+	ownMissing := !f.isRegistered(f.self)
+	switch {
+	case !ownMissing:
+		r.unregisteredSince = -1
+	case r.unregisteredSince < 0:
+		r.unregisteredSince = now
 	}
-	p, err := decodeInstance(r)
-	return err == nil && p == f.self
+	if !f.mesh.Watching() {
+		if ownMissing && now-r.unregisteredSince >= ownRegistrationDelay {
+			return []mesh.Peer{f.self}
+		}
+		return nil
+	}
+	var out []mesh.Peer
+	for _, p := range append(f.mesh.AliveDomainMembers(now), f.self) {
+		if !f.isRegistered(p) && len(out) < maxRegistrations {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
-// waitUntilUnlisted waits until the entry of this instance has disappeared, at most for d.
-func (f *Forwarder) waitUntilUnlisted(ctx context.Context, d time.Duration) {
-	end := f.now() + d
-	sleep(ctx, registrationRetryDelay) // until the watch has returned the new entry
-	for ctx.Err() == nil && f.now() < end && f.isRegistered() {
-		sleep(ctx, time.Second)
+// write registers the instances under the lease, which it grants first if there is none.
+func (r *registrar) write(ctx context.Context, now time.Duration, peers []mesh.Peer) error {
+	if r.lease == 0 {
+		lease, err := r.f.store.Grant(ctx, registrationLeaseTTL)
+		if err != nil {
+			return err
+		}
+		r.lease, r.renewedAt = lease, now
+	}
+	items := make([]kv.Item, 0, len(peers))
+	for _, p := range peers {
+		value, err := json.Marshal(instanceRecord{p.Domain, p.Address})
+		if err != nil {
+			return err
+		}
+		items = append(items, kv.Item{Key: instancePrefix + p.ID, Value: value, Lease: r.lease})
+	}
+	err := r.f.store.Write(ctx, items, nil)
+	if result.CodeOf(err) == result.StoreNotFound {
+		r.lease = 0
+	}
+	return err
+}
+
+// removeSilent removes the entries of instances that have been silent for as long as a lease: the
+// watcher renews the lease for all entries that it has written.
+func (r *registrar) removeSilent(ctx context.Context, now time.Duration) error {
+	f := r.f
+	f.mu.Lock()
+	var keys []string
+	if f.mesh.Watching() && now > registrationLeaseTTL {
+		for _, id := range f.mesh.SilentDomainMembers(now, registrationLeaseTTL) {
+			if _, listed := f.table.Get(instancePrefix + id); listed && len(keys) < maxRegistrations {
+				keys = append(keys, instancePrefix+id)
+			}
+		}
+	}
+	f.mu.Unlock()
+	if len(keys) == 0 {
+		return nil
+	}
+	return f.store.Write(ctx, nil, keys)
+}
+
+// isRegistered reports whether the directory contains the instance with its current address. The
+// caller must hold mu.
+func (f *Forwarder) isRegistered(p mesh.Peer) bool {
+	r, ok := f.table.Get(instancePrefix + p.ID)
+	if !ok {
+		return false
 	}
+	registered, err := decodeInstance(r)
+	return err == nil && registered == p
 }
 
 func decodeInstance(r directory.Record) (mesh.Peer, error) {
--- a/mesh/recipients.go
+++ b/mesh/recipients.go
@@ -63,6 +63,29 @@
 	return out
 }
 
+// AliveDomainMembers returns the peers in the own failure domain that are alive.
+func (m *Mesh) AliveDomainMembers(now time.Duration) []Peer {
+	var out []Peer
+	for _, p := range m.ranked[m.cfg.Self.Domain] {
+		if p.ID != m.cfg.Self.ID && p.alive(now, m.aliveTime()) {
+			out = append(out, p.status.Peer)
+		}
+	}
+	return out
+}
+
+// SilentDomainMembers returns the IDs of the members of the own failure domain that have not been
+// heard for the given time.
+func (m *Mesh) SilentDomainMembers(now, silence time.Duration) []string {
+	var out []string
+	for _, p := range m.ranked[m.cfg.Self.Domain] {
+		if p.ID != m.cfg.Self.ID && now-p.heardAt >= silence {
+			out = append(out, p.ID)
+		}
+	}
+	return out
+}
+
 // ForeignPeers returns the addresses in other failure domains that a delegate sends to.
 func (m *Mesh) ForeignPeers(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
