--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -35,7 +35,10 @@
 	// NewFlowsPerPrefix limits the new flows per second from one source prefix, with a burst
 	// of twice as many; 0 for no limit.
 	NewFlowsPerPrefix int
-	Seed              uint64
+	// Settles reports whether this instance probes the server with the cookie for its failure
+	// domain. If nil, the instance probes every server that it suspects.
+	Settles func(cookie uint32) bool
+	Seed    uint64
 }
 
 // Engine holds the forwarding state of one instance.
@@ -44,6 +47,7 @@
 	rng                *rand.Rand
 	version            uint64
 	configured         bool
+	complete           bool          // the records include all servers and the current configuration
 	configuredAt       time.Duration // time of the first configuration
 	idleTimeout        time.Duration
 	routes             map[routeKey]*route
@@ -112,6 +116,19 @@
 // instant converts an engine time for packages that use time.Time.
 func instant(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
 
+// SetComplete records that all records are known. Until then, the engine forwards what it can
+// and drops the rest: a client repeats a packet, but a reset ends its attempt, and a missing
+// route or server proves nothing yet.
+func (e *Engine) SetComplete() { e.complete = true }
+
+// refuse returns the decision for a new flow that cannot be served.
+func (e *Engine) refuse(reason Reason) Decision {
+	if !e.complete {
+		return Decision{Verdict: Drop, Reason: NotServing}
+	}
+	return Decision{Verdict: ResetFlow, Reason: reason}
+}
+
 // Packet makes the decision for a client's packet. raw is the packet itself; the engine
 // copies an opening packet so that it can be sent to another server.
 func (e *Engine) Packet(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
@@ -127,7 +144,7 @@
 func (e *Engine) openFlow(now time.Duration, p Packet, raw []byte) (Decision, []Action) {
 	r := e.routes[routeKey{p.Flow.Service, p.Flow.ServicePort}]
 	if r == nil {
-		return Decision{Verdict: ResetFlow, Reason: NoRoute}, nil
+		return e.refuse(NoRoute), nil
 	}
 	f := e.flows[p.Flow]
 	if f != nil && f.state == opening && (f.server.health.state <= suspected) {
@@ -144,7 +161,7 @@
 	actions := e.suspectRefusals(now, p.Flow)
 	s := e.choose(now, r)
 	if s == nil {
-		return Decision{Verdict: ResetFlow, Reason: NoServer}, actions
+		return e.refuse(NoServer), actions
 	}
 	if f != nil {
 		e.removeFlow(f)
@@ -241,10 +258,7 @@
 	e.lastTick = now
 	actions := append(e.checkPending(now), e.checkSilence(now)...)
 	for s := range e.untrustedServers {
-		h := &s.health
-		if s.listed && !h.replaced && !h.probing && now >= h.nextProbe {
-			actions = append(actions, e.probe(s)...)
-		}
+		actions = append(actions, e.probeAgain(now, s)...)
 	}
 	e.expire(now)
 	e.expirePeerLoads(now)
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/monsoonthread/monsoonthread/forwarding"
+	"github.com/monsoonthread/monsoonthread/peer/exchange"
 	"github.com/monsoonthread/monsoonthread/platform/health"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
@@ -86,7 +87,14 @@
 			f.sendToServer(append(b, a.Packet...), a.Target)
 		case forwarding.ReportToPeers:
 			f.counters.suspectsSent.Inc()
-			f.sendSuspect(a.Target.Cookie)
+			f.sendToDomain(&exchange.Message{Suspects: []uint32{a.Target.Cookie}})
+		case forwarding.ConfirmToPeers:
+			f.sendToDomain(&exchange.Message{Resets: []uint32{a.Target.Cookie}})
+		case forwarding.AskSettlers:
+			f.counters.questionsSent.Inc()
+			f.askSettlers(a.Target.Cookie)
+		case forwarding.TellAlive, forwarding.TellDown:
+			f.tellAskers(a.Target.Cookie, a.Kind == forwarding.TellAlive)
 		case forwarding.Probe:
 			go f.probe(a)
 		}
@@ -103,7 +111,7 @@
 	default:
 		// Without a free slot, the probe counts as stalled on this instance.
 		f.mu.Lock()
-		f.engine.ApplyProbeResult(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.ConnectTimeout, Stalled: true})
+		f.engine.ApplyProbeResult(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.ConnectTimeout, Stalled: true, Incarnation: a.Incarnation})
 		f.mu.Unlock()
 		return
 	}
@@ -112,7 +120,7 @@
 	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
 	f.counters.probes[outcome].Inc()
 	now := f.now()
-	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started}
+	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started, Incarnation: a.Incarnation}
 	if outcome == forwarding.ConnectTimeout {
 		r.Reference = <-reference
 		// A late timer means that this process was stalled.
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -69,12 +69,12 @@
 			f.events.logMalformed(from, err)
 			continue
 		}
-		f.handleMessage(m)
+		f.handleMessage(m, from)
 	}
 }
 
 // handleMessage applies a datagram from a peer.
-func (f *Forwarder) handleMessage(m *exchange.Message) {
+func (f *Forwarder) handleMessage(m *exchange.Message, from netip.AddrPort) {
 	now := f.now()
 	f.mu.Lock()
 	if m.Status != nil {
@@ -92,10 +92,20 @@
 	for _, cookie := range m.Suspects {
 		actions = append(actions, f.engine.Suspect(now, cookie)...)
 	}
+	for _, cookie := range m.Asks {
+		f.askers.add(now, cookie, from)
+		actions = append(actions, f.engine.Ask(now, cookie)...)
+	}
+	for _, cookie := range m.Resets {
+		actions = append(actions, f.engine.ConfirmUnreachable(now, cookie)...)
+	}
+	for _, cookie := range m.Alive {
+		f.engine.SettledAlive(now, cookie)
+	}
 	f.engine.AddPeerFailures(now, m.Failures)
 	f.mu.Unlock()
 	f.perform(actions)
-	if len(m.Update.Records) > 0 {
+	if len(m.Update.Records) > 0 && !m.Update.Complete { // a complete update comes only as the answer to a pull
 		f.applyUpdate(m.Update)
 	}
 }
@@ -195,12 +205,32 @@
 	f.sendEncoded(b, to)
 }
 
-// sendSuspect reports a server that appears dead to the peers in the same failure domain.
-func (f *Forwarder) sendSuspect(cookie uint32) {
+// sendToDomain sends a message to the peers in the same failure domain.
+func (f *Forwarder) sendToDomain(m *exchange.Message) {
 	f.mu.Lock()
 	to := f.mesh.AliveDomainPeers(f.now())
 	f.mu.Unlock()
-	f.sendDatagram(&exchange.Message{Suspects: []uint32{cookie}}, to)
+	f.sendDatagram(m, to)
+}
+
+// askSettlers asks the settlers of a server whether it is alive.
+func (f *Forwarder) askSettlers(cookie uint32) {
+	f.mu.Lock()
+	to := f.mesh.Settlers(f.now(), cookie)
+	f.mu.Unlock()
+	f.sendDatagram(&exchange.Message{Asks: []uint32{cookie}}, to)
+}
+
+// tellAskers answers the peers that asked about a server.
+func (f *Forwarder) tellAskers(cookie uint32, alive bool) {
+	f.mu.Lock()
+	to := f.askers.take(f.now(), cookie)
+	f.mu.Unlock()
+	m := exchange.Message{Suspects: []uint32{cookie}}
+	if alive {
+		m = exchange.Message{Alive: []uint32{cookie}}
+	}
+	f.sendDatagram(&m, to)
 }
 
 // pullMissing pulls records from a peer whose revision is ahead, if there is one.
@@ -296,7 +326,7 @@
 	status := f.status(f.now())
 	response := exchange.Message{Status: &status, Members: f.mesh.Members()}
 	if withRecords {
-		response.Update = directory.Update{Base: base, AsOf: f.table.AsOf(), Records: f.table.Since(base)}
+		response.Update = f.table.UpdateSince(base)
 	}
 	f.mu.Unlock()
 	if err := exchange.WriteFrame(conn, &response); err != nil {
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -33,6 +33,11 @@
 	// maxInitialPulls limits how many seeds, and then how many members, a starting instance
 	// pulls from.
 	maxInitialPulls = 3
+	// At the first start of a deployment, before any traffic, an instance that is no seed waits
+	// up to firstStartWait, plus as much at random, for the records of others. Traffic starts 10 s
+	// after the machines do.
+	firstStartWait     = 2 * time.Second
+	firstStartInterval = 100 * time.Millisecond
 	// maxListAttempts limits the attempts to bring a stale listing up to date. They take
 	// about 3 s; after that, serving with records that are seconds old is better than not
 	// serving.
@@ -73,8 +78,7 @@
 // watcher of its failure domain; otherwise the records come from peers.
 func (f *Forwarder) syncWithStore(ctx context.Context) {
 	f.loadInitialRecords(ctx)
-	f.initialSyncDone.Store(true)
-	f.checkReady()
+	f.finishInitialSync()
 	listed := f.hasRecords()
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -95,6 +99,17 @@
 	}
 }
 
+// finishInitialSync lets the engine refuse flows and the instance become ready.
+func (f *Forwarder) finishInitialSync() {
+	f.mu.Lock()
+	f.engine.SetComplete()
+	stats, revision := f.engine.Stats(), f.table.AsOf()
+	f.mu.Unlock()
+	f.initialSyncDone.Store(true)
+	f.log.Info().Int("servers", stats.Listed).Uint64(logging.Version, stats.Version).Uint64("revision", revision).Msg("records_loaded")
+	f.checkReady()
+}
+
 // recordStoreCall reports the result of a store call to the mesh and waits after a failure.
 func (f *Forwarder) recordStoreCall(ctx context.Context, err error) {
 	code := result.CodeOf(err)
@@ -132,6 +147,9 @@
 // because that puts no load on the store and includes servers that have left. Otherwise it
 // reads the store, and if that fails, it uses the records of any peer.
 func (f *Forwarder) loadInitialRecords(ctx context.Context) {
+	if s := f.settings.Load(); s.FirstStart && s.Seeds != "" && !s.isSeed() {
+		f.waitForSeeds(ctx)
+	}
 	pullDone := make(chan struct{}, 1)
 	go func() {
 		f.pullFromSeeds(ctx)
@@ -158,6 +176,24 @@
 	}
 }
 
+// waitForSeeds pulls from the seeds, or from the members that they report, until the records
+// are current. Each round doubles the number of instances that have records, so that a few
+// readers of the store serve a deployment of any size.
+func (f *Forwarder) waitForSeeds(ctx context.Context) {
+	end := f.now() + firstStartWait + rand.N(firstStartWait)
+	for ctx.Err() == nil && f.now() < end {
+		f.pullFromSeeds(ctx)
+		f.mu.Lock()
+		fresh := f.mesh.Fresh(f.now()) && f.table.AsOf() > 0
+		f.mu.Unlock()
+		if fresh {
+			return
+		}
+		sleep(ctx, firstStartInterval+rand.N(firstStartInterval))
+	}
+	f.log.Warn().Msg("seeds_without_records")
+}
+
 // listAndWatch reads a stale listing and then the current changes since that listing. The
 // listing may be seconds old, but the store can serve it to all instances of a large
 // deployment at once.
@@ -222,24 +258,37 @@
 	return false
 }
 
+// listingPrefixes are the key prefixes of a stale listing, in the order in which a starting
+// instance needs the records: at 20 Mbit/s, the listing of 600 servers takes 160 ms, and clients
+// send again meanwhile.
+var listingPrefixes = []string{wire.ConfigurationKey, wire.ServerPrefix, instancePrefix}
+
 // list reads all records. If stale is set, the store may return pages of older revisions; the
-// listing is then complete only up to the revision of the oldest page.
+// listing is then complete only up to the revision of the oldest page. The engine gets each page
+// as soon as it arrives.
 func (f *Forwarder) list(ctx context.Context, stale bool) error {
+	prefixes := []string{allKeysPrefix}
+	if stale {
+		prefixes = listingPrefixes
+	}
 	var records []directory.Record
 	var asOf uint64
-	for after := ""; ; {
-		page, err := f.store.Range(ctx, allKeysPrefix, after, stale)
-		if err != nil {
-			return err
-		}
-		if asOf == 0 || page.AsOf < asOf {
-			asOf = page.AsOf
-		}
-		records = append(records, toRecords(page.Items)...)
-		if !page.More || len(page.Items) == 0 {
-			break
+	for _, prefix := range prefixes {
+		for after, more := "", true; more; {
+			page, err := f.store.Range(ctx, prefix, after, stale)
+			if err != nil {
+				return err
+			}
+			if asOf == 0 || page.AsOf < asOf {
+				asOf = page.AsOf
+			}
+			items := toRecords(page.Items)
+			f.applyUpdate(directory.Update{Records: items})
+			records = append(records, items...)
+			if more = page.More && len(page.Items) > 0; more {
+				after = page.Items[len(page.Items)-1].Key
+			}
 		}
-		after = page.Items[len(page.Items)-1].Key
 	}
 	f.mu.Lock()
 	changed := f.table.Replace(f.now(), records, asOf)
@@ -333,9 +382,12 @@
 	f.mu.Lock()
 	actions := put(f.now(), s)
 	f.mu.Unlock()
+	f.perform(actions)
+	if !f.initialSyncDone.Load() {
+		return // a line for each of hundreds of servers would delay the start by 70 ms
+	}
 	f.events.newEvent(zerolog.InfoLevel).Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
 		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.StartedAt).Uint64("revision", r.Revision).Msg("server")
-	f.perform(actions)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
