--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -174,8 +174,14 @@
 
 // excludedServer returns the server that shed the request last, or nil.
 func (s *Scheduler) excludedServer(it *admission.Item) *server {
-	if i := it.OwnerData >> excludeShift; i != 0 && int(i) <= len(s.assigned) {
-		return s.assigned[i-1]
+	number := it.OwnerData >> excludeShift
+	if number == 0 {
+		return nil
+	}
+	for _, srv := range s.assigned {
+		if srv.number == number {
+			return srv
+		}
 	}
 	return nil
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -131,12 +131,13 @@
 	heldRequests []heldRequest
 	retryBudget  *admission.RetryBudget
 
-	servers        map[string]*server
-	assigned       []*server // servers assigned by the last SetAssignments, in any role
-	pollList       []*server // servers whose usable slots can change with time alone
-	activePollList []*server // poll list of the running Tick
-	freeServers    freeHeap
-	virtualTime    float64 // highest slotTime of a server when it was selected
+	servers          map[string]*server
+	assigned         []*server // servers assigned by the last SetAssignments, in any role
+	lastServerNumber uint64
+	pollList         []*server // servers whose usable slots can change with time alone
+	activePollList   []*server // poll list of the running Tick
+	freeServers      freeHeap
+	virtualTime      float64 // highest slotTime of a server when it was selected
 
 	grants          []grant
 	freeGrants      []uint32
@@ -191,7 +192,7 @@
 	idempotentFlag = 1 << 0
 	attemptShift   = 8
 	attemptMask    = 0xff
-	excludeShift   = 16 // index + 1 in assigned of the server that shed the request
+	excludeShift   = 16 // number of the server that shed the request
 )
 
 // Submit accepts a request. Unless the request waits, the actions contain its Run or
@@ -322,10 +323,8 @@
 		return append(out, refuse(&it, errBackendShed, s.retryAfter()))
 	}
 	it.OwnerData = it.OwnerData&idempotentFlag | attempts<<attemptShift
-	for i, o := range s.assigned {
-		if o == srv && s.usableServers > 1 {
-			it.OwnerData |= uint64(i+1) << excludeShift
-		}
+	if srv.assigned && s.usableServers > 1 {
+		it.OwnerData |= srv.number << excludeShift
 	}
 	s.queue.Requeue(it)
 	s.waiting++
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -377,6 +377,19 @@
 	}
 }
 
+// Guards against a shed request that goes to the server that shed it, because new assignments
+// list the servers in another order.
+func TestShedRequestAfterNewAssignments(t *testing.T) {
+	f := newFixture(t, 100, 100)
+	f.expect(f.submit(1, time.Second), "run 1@a")
+	f.expect(f.submit(2, time.Second), "run 2@b")
+	f.expect(f.finish(1, backend.Shed, time.Millisecond), "")
+	reversed := assignments("", 100, 100)
+	slices.Reverse(reversed)
+	f.expect(formatActions(f.s.SetAssignments(f.now, reversed, 2)), "")
+	f.expect(f.finish(2, backend.Success, time.Millisecond), "run 1@b")
+}
+
 // Guards against reusing the slot of a cancelled request while the server may still run
 // it, and against queued requests that run after they were cancelled.
 func TestCancel(t *testing.T) {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -25,6 +25,7 @@
 
 // server is the state of one backend server at this instance.
 type server struct {
+	number uint64 // identifies the server in queued requests, above 0; stable across assignments
 	// Fields used by each scheduling decision.
 	backend        *backend.Server
 	role           role
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -66,7 +66,8 @@
 	cfg := s.backendConfig(&a.Server)
 	// A server that appears after the first view and had no dispatcher is new.
 	cfg.StartCold = s.started && a.Previous == ""
-	srv := &server{cfg: a.Server, backend: backend.New(cfg, now), role: roleReleased, heapIndex: -1, slotTime: s.virtualTime, releasedAt: now}
+	s.lastServerNumber++
+	srv := &server{number: s.lastServerNumber, cfg: a.Server, backend: backend.New(cfg, now), role: roleReleased, heapIndex: -1, slotTime: s.virtualTime, releasedAt: now}
 	srv.reportedState = srv.backend.State()
 	if source, ok := s.drainNotices[a.Server.Name]; ok {
 		srv.backend.Drain(now, source)
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -23,6 +23,9 @@
 	prefixBurst = 2
 	// prefixEntries bounds the table of source prefixes to 32 KB.
 	prefixEntries = 2048
+	// maxOpeningAdvance is the range of sequence numbers after an opening packet in which the next
+	// packets of its flow lie: more than 16 packets of 1,200 bytes.
+	maxOpeningAdvance = 1 << 16
 	// forgetInterval is the time between passes that delete servers without a record.
 	forgetInterval = 10 * time.Second
 )
@@ -168,6 +171,7 @@
 	}
 	if len(e.flows) < e.cfg.MaxFlows {
 		f = e.track(now, p.Flow, s, r.kind)
+		f.seq = p.Sequence
 		e.addExpectedRate(s)
 		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
 	}
@@ -178,6 +182,15 @@
 	f := e.flows[p.Flow]
 	reason, newlyTracked := ByFlow, false
 	var handshake time.Duration
+	if f != nil && f.state == opening && p.Sequence-f.seq > maxOpeningAdvance {
+		// A late packet of an earlier flow between the same endpoints: it must not decide the
+		// server of the new one.
+		s, cookieReason := e.serverByCookie(now, p)
+		if s == nil {
+			return Decision{Verdict: Drop, Reason: cookieReason}, nil
+		}
+		return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
+	}
 	if f == nil || f.state == opening {
 		s, cookieReason := e.serverByCookie(now, p)
 		if s == nil && f == nil {
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -89,6 +89,9 @@
 	if len(f.app.statusAddresses) == 0 {
 		return nil, usagef("--status-addresses is required")
 	}
+	if f.app.tlsCert != "" || f.app.tlsKey != "" || f.app.tlsCA != "" {
+		return nil, usagef("--tls-cert, --tls-key and --tls-ca: forwarders serve their status without TLS")
+	}
 	for _, a := range f.app.statusAddresses {
 		if _, err := netip.ParseAddrPort(a); err != nil {
 			return nil, usagef("--status-addresses: %w", err)
--- a/internal/ctl/forwarders_test.go
+++ b/internal/ctl/forwarders_test.go
@@ -91,6 +91,7 @@
 	c := newCLITest(t)
 	c.run(ExitUsage, "[601] --status-addresses is required", "forwarder", "status")
 	c.run(ExitUsage, "[601] --status-addresses", "forwarder", "status", "--status-addresses", "laval")
+	c.run(ExitUsage, "[601] --tls-cert, --tls-key and --tls-ca: forwarders serve", "forwarder", "status", "--status-addresses", "127.0.7.9:1", "--tls-ca", c.path("ca.pem"))
 	c.run(ExitError, "127.0.7.9:1", "forwarder", "status", "--status-addresses", "127.0.7.9:1")
 	c.run(ExitUsage, "[601] --logs or --status-addresses is required", "forwarder", "explain", "10.0.0.7:1>10.0.0.9:443")
 	c.run(ExitUsage, "[601] --state \"ill\" is not allowed; allowed: trusted", "forwarder", "servers", "--state", "ill", "--status-addresses", "127.0.7.9:1")
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +15,10 @@
 	// MAX_TRANSMIT_SPAN of RFC 7252 for callers with an ACK_TIMEOUT of 2 s and two
 	// retransmissions. An idempotent request whose duplicate arrives later runs again.
 	exchangeLifetime = 15 * time.Second
-	// maxShardExchanges and maxShardAnswerBytes bound one shard; the oldest exchange is
-	// evicted first. In total 65,536 exchanges and 16 MB.
+	// maxShardExchanges and maxShardAnswerBytes bound one shard; the oldest answered exchange is
+	// evicted first. In total 65,536 exchanges and 16 MB. Running exchanges are kept beyond the
+	// bound, since a retransmission of one would run the request again; admission bounds their
+	// number.
 	maxShardExchanges   = 1024
 	maxShardAnswerBytes = 256 << 10
 )
@@ -94,17 +97,31 @@
 	s.evict(now)
 }
 
-// evict removes expired exchanges, and the oldest ones while a bound is exceeded.
+// evict removes expired exchanges, and the oldest answered ones while a bound is exceeded.
 func (s *exchangeShard) evict(now time.Time) {
 	for len(s.order) > 0 {
 		oldest := s.order[0]
 		e, ok := s.entries[oldest]
-		if ok && len(s.entries) <= maxShardExchanges && s.bytes <= maxShardAnswerBytes && now.Sub(e.started) < exchangeLifetime {
-			return
+		if ok && now.Sub(e.started) < exchangeLifetime {
+			break
 		}
 		s.order = s.order[1:]
 		s.remove(oldest)
 	}
+	if !s.overBound() {
+		return
+	}
+	s.order = slices.DeleteFunc(s.order, func(k exchangeKey) bool {
+		if s.entries[k].answer == nil || !s.overBound() {
+			return false
+		}
+		s.remove(k)
+		return true
+	})
+}
+
+func (s *exchangeShard) overBound() bool {
+	return len(s.entries) > maxShardExchanges || s.bytes > maxShardAnswerBytes
 }
 
 func (s *exchangeShard) remove(k exchangeKey) {
--- a/internal/daemon/exchange_test.go
+++ b/internal/daemon/exchange_test.go
@@ -38,3 +38,23 @@
 		t.Fatalf("order holds %d keys", len(s.order))
 	}
 }
+
+// Guards against a running request that is evicted by later ones, so that its retransmission runs
+// it again.
+func TestRunningExchangeIsNotEvicted(t *testing.T) {
+	table := newExchangeTable()
+	now := time.Unix(1000, 0)
+	running := exchangeKey{caller: netip.MustParseAddrPort("127.0.0.1:1000"), service: 1, id: 7}
+	table.begin(running, now)
+	for i := range 5000 {
+		k := exchangeKey{caller: running.caller, service: 2, id: uint16(i)}
+		table.begin(k, now)
+		table.complete(k, make([]byte, 1024), now)
+	}
+	if duplicate, _ := table.begin(running, now.Add(time.Second)); !duplicate {
+		t.Error("a retransmission of the running request counts as a new request")
+	}
+	if s := table.shard(running); len(s.entries) > maxShardExchanges+1 || s.bytes > maxShardAnswerBytes {
+		t.Errorf("shard holds %d exchanges and %d bytes", len(s.entries), s.bytes)
+	}
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -104,7 +104,7 @@
 		switch a := a.(type) {
 		case membership.Send:
 			to := membership.Entry{Instance: a.To}
-			_ = d.peers.Send(addressOf(to), &peerpb.Envelope{Body: &peerpb.Envelope_Membership{Membership: a.Message}})
+			d.sendToMember(to, &peerpb.Envelope{Body: &peerpb.Envelope_Membership{Membership: a.Message}})
 		case membership.ViewChanged:
 			d.viewChanged(a.View)
 		case membership.Rejoined:
@@ -257,6 +257,12 @@
 		d.metrics.sendErrors.Inc()
 		return
 	}
+	d.sendToMember(e, env)
+}
+
+// sendToMember sends an envelope to a member and counts a failure. Messages may be lost, so no caller
+// depends on it.
+func (d *Daemon) sendToMember(e membership.Entry, env *peerpb.Envelope) {
 	if err := d.peers.Send(addressOf(e), env); err != nil {
 		d.metrics.sendErrors.Inc()
 	}
@@ -271,7 +277,7 @@
 	for i := range r.view.Domains {
 		for _, e := range r.view.Domains[i].Members {
 			if e.ID != d.settings.InstanceID && e.State != membership.Dead {
-				_ = d.peers.Send(addressOf(e), build())
+				d.sendToMember(e, build())
 			}
 		}
 	}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"time"
@@ -266,7 +267,10 @@
 		return result.Errorf(result.PeerUnreachable, "pull: %w", err)
 	}
 	m, err := exchange.ReadFrame(conn, exchange.MaxFrameBytes)
-	if err != nil {
+	switch {
+	case result.CodeOf(err) == result.PeerProtocol:
+		return fmt.Errorf("pull: %w", err)
+	case err != nil:
 		return result.Errorf(result.PeerUnreachable, "pull: %w", err)
 	}
 	f.mu.Lock()
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -40,8 +40,8 @@
 	LogLevel           string
 }
 
-// defaultNewFlowsPerPrefix is 20 times the mean rate of an instance at the target load
-// (110,000 new flows per second at 1,300 instances), because all clients of a site may share
+// defaultNewFlowsPerPrefix is 23.6 times the mean rate of an instance at the target load
+// (110,000 new flows per second at 1,300 instances: 84.6), because all clients of a site may share
 // a prefix.
 const defaultNewFlowsPerPrefix = 2000
 
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -46,7 +46,7 @@
 	history         []item
 	droppedRevision uint64 // highest revision that DropHistory discarded
 	revision        uint64
-	leases          map[uint64]time.Time // expiry time by lease ID
+	leases          map[uint64]lease // by ID
 	fault           Fault
 	calls           map[string]int
 	changed         chan struct{}
@@ -55,7 +55,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]time.Time), calls: make(map[string]int), changed: make(chan struct{})}
+	return &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]lease), calls: make(map[string]int), changed: make(chan struct{})}
 }
 
 // SetFault sets the failure mode of subsequent calls.
@@ -107,8 +107,8 @@
 func (s *Store) ExpireLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for lease := range s.leases {
-		s.leases[lease] = time.Time{}
+	for id := range s.leases {
+		s.leases[id] = lease{}
 	}
 	s.expireLeases()
 }
@@ -160,13 +160,13 @@
 
 // expireLeases removes expired leases and their keys.
 func (s *Store) expireLeases() {
-	for lease, end := range s.leases {
-		if time.Now().Before(end) {
+	for id, l := range s.leases {
+		if time.Now().Before(l.expiresAt) {
 			continue
 		}
-		delete(s.leases, lease)
+		delete(s.leases, id)
 		for _, key := range s.keys("", "") {
-			if s.items[key].Lease == lease {
+			if s.items[key].Lease == id {
 				s.remove(key)
 			}
 		}
@@ -295,6 +295,11 @@
 	return events
 }
 
+type lease struct {
+	ttl       time.Duration
+	expiresAt time.Time
+}
+
 type transaction struct {
 	Expected []struct {
 		Key      string `json:"key"`
@@ -348,24 +353,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.leases[s.revision] = time.Now().Add(time.Duration(in.TTL) * time.Millisecond)
+	ttl := time.Duration(in.TTL) * time.Millisecond
+	s.leases[s.revision] = lease{ttl, time.Now().Add(ttl)}
 	writeJSON(w, map[string]any{"lease": s.revision, "ttlMs": in.TTL})
 }
 
 func (s *Store) renewLease(w http.ResponseWriter, r *http.Request) {
-	s.withLease(w, r, func(lease uint64) {
-		s.leases[lease] = time.Now().Add(time.Minute)
-		writeJSON(w, map[string]int64{"ttlMs": time.Minute.Milliseconds()})
+	s.withLease(w, r, func(id uint64) {
+		ttl := s.leases[id].ttl
+		s.leases[id] = lease{ttl, time.Now().Add(ttl)}
+		writeJSON(w, map[string]int64{"ttlMs": ttl.Milliseconds()})
 	})
 }
 
 func (s *Store) withLease(w http.ResponseWriter, r *http.Request, f func(uint64)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lease, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
-	if _, ok := s.leases[lease]; err != nil || !ok {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if _, ok := s.leases[id]; err != nil || !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	f(lease)
+	f(id)
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -138,8 +138,8 @@
 
 // ApplyStatus applies a status message.
 func (m *Mesh) ApplyStatus(now time.Duration, s Status) {
-	if s.ID == m.cfg.Self.ID {
-		return
+	if s.ID == m.cfg.Self.ID || s.ID == "" {
+		return // "" comes from a malformed message
 	}
 	m.AddPeer(s.Peer, false)
 	p := m.members[s.ID]
--- a/test/lab/scenario.go
+++ b/test/lab/scenario.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/config"
 	"github.com/monsoonthread/monsoonthread/internal/standin/callers"
 	"github.com/monsoonthread/monsoonthread/internal/standin/instancelist"
 	"github.com/monsoonthread/monsoonthread/internal/standin/kvservice"
+	"github.com/monsoonthread/monsoonthread/result"
 	"github.com/monsoonthread/monsoonthread/test/lab/cluster"
 )
 
@@ -270,9 +272,11 @@
 	if err := s.waitUntil(ctx, 18*time.Second); err != nil {
 		return err
 	}
-	_, err := s.cluster.StartInstance(ctx, spec)
+	if _, err := s.cluster.StartInstance(ctx, spec); err != nil {
+		return err
+	}
 	s.recordEvent("instance %s has joined again", spec.ID)
-	return err
+	return nil
 }
 
 func partitionDomain(ctx context.Context, s *session) error {
@@ -302,8 +306,12 @@
 		return err
 	}
 	s.recordEvent("key-value service and list are down")
-	if _, err := s.cluster.AcceptConfiguration(ctx); err == nil {
+	unavailable := fmt.Sprintf("[%d]", result.StoreUnavailable)
+	switch _, err := s.cluster.AcceptConfiguration(ctx); {
+	case err == nil:
 		return fmt.Errorf("a configuration was accepted during an outage of the key-value service")
+	case !strings.Contains(err.Error(), unavailable):
+		return fmt.Errorf("a configuration was rejected during an outage of the key-value service with %w, want code %s", err, unavailable)
 	}
 	if err := s.waitUntil(ctx, 10*time.Second); err != nil {
 		return err
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -180,6 +180,9 @@
 // are active, and checks that the remaining instances use the next configuration within
 // maxPropagationDelay. Some of the killed instances may be watching the store.
 func (d *deployment) checkChangeAfterCrashes() {
+	if d.options.InstancesPerDomain < 2 {
+		return // no instance would be left
+	}
 	time.Sleep(settleTime + settleTime/2)
 	for domain := range domainCount {
 		d.instances[domain+domainCount*d.rng.IntN(d.options.InstancesPerDomain)].signal(syscall.SIGKILL)
@@ -221,12 +224,20 @@
 	}
 }
 
-// checkVersionActive checks that all settled instances use the accepted version.
+// checkVersionActive checks that all settled instances use the accepted version, and that there
+// is one.
 func (d *deployment) checkVersionActive(when string) {
+	settled := 0
+	defer func() {
+		if settled == 0 {
+			d.recordViolation("no instance is settled, so that the accepted version %d cannot be checked, %s", d.version, when)
+		}
+	}()
 	for _, in := range d.instances {
 		if !in.settled() {
 			continue
 		}
+		settled++
 		if got, ok := in.activeVersion(); !ok || got != uint64(d.version) {
 			d.recordViolation("%s uses version %d (read: %t), but version %d was accepted %v ago, %s", in.name, got, ok, d.version, maxPropagationDelay, when)
 		}
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -89,8 +89,9 @@
 	violations     []string
 	faultCounts    map[string]int
 	version        int
-	acceptedAt     time.Time // when version was accepted
-	lastStoreFault time.Time // last start or end of a store fault
+	acceptedAt     time.Time            // when version was accepted
+	faultEnds      map[string]time.Time // end of the active fault by key, see endFault
+	lastStoreFault time.Time            // last start or end of a store fault
 	servers        []*server
 	nextID         int
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -24,7 +24,7 @@
 	{"reload", func(_ *deployment, in *instance) { in.signal(syscall.SIGHUP) }},
 	{"pause", func(d *deployment, in *instance) {
 		in.signal(syscall.SIGSTOP)
-		time.AfterFunc(d.randomDuration(2500), func() { in.signal(syscall.SIGCONT) })
+		d.endFault("pause "+in.name, d.randomDuration(2500), func() { in.signal(syscall.SIGCONT) })
 	}},
 	{"store fault", func(d *deployment, _ *instance) {
 		d.setStoreFault(metastore.Fault(1+d.rng.IntN(4)), d.randomDuration(2500))
@@ -32,7 +32,7 @@
 	{"store silent for one", func(d *deployment, in *instance) {
 		in.storeLink.stalled.Store(true)
 		in.markFault()
-		time.AfterFunc(d.randomDuration(3000), func() { in.storeLink.stalled.Store(false); in.markFault() })
+		d.endFault("store link "+in.name, d.randomDuration(3000), func() { in.storeLink.stalled.Store(false); in.markFault() })
 	}},
 	{"store connections reset", func(_ *deployment, in *instance) { in.markFault(); in.storeLink.reset() }},
 	{"history dropped", func(d *deployment, _ *instance) { d.store.DropHistory() }},
@@ -44,7 +44,7 @@
 	}},
 	{"peers not heard", func(d *deployment, in *instance) {
 		in.peerLink.stalled.Store(true)
-		time.AfterFunc(d.randomDuration(4000), func() { in.peerLink.stalled.Store(false) })
+		d.endFault("peer link stalled "+in.name, d.randomDuration(4000), func() { in.peerLink.stalled.Store(false) })
 	}},
 	{"not heard by peers", func(d *deployment, in *instance) { d.dropPeerDatagrams(in, func(*instance) bool { return true }) }},
 	{"not heard in its domain", func(d *deployment, in *instance) {
@@ -59,7 +59,7 @@
 	}},
 	{"peer link slow", func(d *deployment, in *instance) {
 		in.peerLink.delay.Store(int64(d.randomDuration(400)))
-		time.AfterFunc(d.randomDuration(4000), func() { in.peerLink.delay.Store(0) })
+		d.endFault("peer link slow "+in.name, d.randomDuration(4000), func() { in.peerLink.delay.Store(0) })
 	}},
 	{"peer connections reset", func(_ *deployment, in *instance) { in.peerLink.reset() }},
 }
@@ -86,6 +86,29 @@
 	time.AfterFunc(d.randomDuration(4000), func() { d.setPeerDatagramsDropped(in, listeners, false) })
 }
 
+// endFault ends a fault after a duration. Of several faults with one key, the one that lasts
+// longest decides: the end of an earlier fault must not end a later one.
+func (d *deployment) endFault(key string, duration time.Duration, end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	endsAt := time.Now().Add(duration)
+	if d.faultEnds == nil {
+		d.faultEnds = make(map[string]time.Time)
+	}
+	if d.faultEnds[key].After(endsAt) {
+		return
+	}
+	d.faultEnds[key] = endsAt
+	time.AfterFunc(duration, func() {
+		d.mu.Lock()
+		current := d.faultEnds[key].Equal(endsAt)
+		d.mu.Unlock()
+		if current {
+			end()
+		}
+	})
+}
+
 // setPeerDatagramsDropped starts or stops dropping the datagrams from an instance to the
 // selected listeners.
 func (d *deployment) setPeerDatagramsDropped(in *instance, listeners func(*instance) bool, drop bool) {
@@ -109,7 +132,7 @@
 		d.store.SetFault(f)
 	}
 	apply(f)
-	time.AfterFunc(duration, func() { apply(metastore.NoFault) })
+	d.endFault("store", duration, func() { apply(metastore.NoFault) })
 }
 
 // pickServer chooses a random server that is neither draining nor stopped. It returns nil
