--- a/internal/forwarder/registration.go
+++ b/internal/forwarder/registration.go
@@ -25,6 +25,9 @@
 	leaseRenewInterval = 4 * time.Minute
 	// registrationInterval is the time between checks for instances that the directory lacks.
 	registrationInterval = 2 * time.Second
+	// settledWatchTime is how long an instance must have watched the store before it registers
+	// others: after a start of all instances, many watch until they have heard each other.
+	settledWatchTime = 3 * time.Second
 	// ownRegistrationDelay is how long an instance waits for the watcher of its failure domain
 	// to register it.
 	ownRegistrationDelay = 15 * time.Second
@@ -44,7 +47,7 @@
 // all of its instances, many with one call: calls to the store are priced, and with hundreds of
 // instances, two by each were most of all calls of a quiet day.
 func (f *Forwarder) register(ctx context.Context) {
-	r := registrar{f: f, unregisteredSince: -1}
+	r := registrar{f: f, unregisteredSince: -1, watchingSince: -1}
 	for ctx.Err() == nil {
 		sleep(ctx, registrationInterval/2+rand.N(registrationInterval))
 		if ctx.Err() != nil || !f.hasRecords() {
@@ -63,6 +66,7 @@
 	lease             uint64 // 0 for none
 	renewedAt         time.Duration
 	unregisteredSince time.Duration // since when this instance's own entry is missing; -1 if it is not
+	watchingSince     time.Duration // since when this instance watches the store; -1 if it does not
 }
 
 func (r *registrar) update(ctx context.Context) error {
@@ -95,7 +99,13 @@
 	case r.unregisteredSince < 0:
 		r.unregisteredSince = now
 	}
-	if !f.mesh.Watching() {
+	switch {
+	case !f.mesh.Watching():
+		r.watchingSince = -1
+	case r.watchingSince < 0:
+		r.watchingSince = now
+	}
+	if r.watchingSince < 0 || now-r.watchingSince < settledWatchTime {
 		if ownMissing && now-r.unregisteredSince >= ownRegistrationDelay {
 			return []mesh.Peer{f.self}
 		}
@@ -112,7 +122,8 @@
 
 // write registers the instances under the lease, which it grants first if there is none.
 func (r *registrar) write(ctx context.Context, now time.Duration, peers []mesh.Peer) error {
-	if r.lease == 0 {
+	hadLease := r.lease != 0
+	if !hadLease {
 		lease, err := r.f.store.Grant(ctx, registrationLeaseTTL)
 		if err != nil {
 			return err
@@ -128,8 +139,12 @@
 		items = append(items, kv.Item{Key: instancePrefix + p.ID, Value: value, Lease: r.lease})
 	}
 	err := r.f.store.Write(ctx, items, nil)
-	if result.CodeOf(err) == result.StoreNotFound {
-		r.lease = 0
+	if result.CodeOf(err) != result.StoreNotFound {
+		return err
+	}
+	r.lease = 0 // it has ended
+	if hadLease {
+		return r.write(ctx, now, peers)
 	}
 	return err
 }
