Log listings with the store's era and revision, count refused watches

Cause: the logs could not tell whether a listing was ignored as a whole or record by record, because a listing left no line and the header Store-Era was not read. Ruled out: using the existing 501 and 508 lines, which look the same in both cases.

Change: the client of the store returns the era of pages and events; a listing logs era, revision, known revision and changed records; two gauges. No decision changes.

--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -64,6 +64,8 @@
 	})
 	set.NewGauge("forwarder_store_calls", func() float64 { calls, _ := f.store.Calls(); return float64(calls) })
 	set.NewGauge("forwarder_store_calls_failed", func() float64 { _, failed := f.store.Calls(); return float64(failed) })
+	set.NewGauge("forwarder_store_history_gone", func() float64 { return float64(f.store.HistoryGone()) })
+	set.NewGauge("forwarder_store_era", func() float64 { return float64(f.store.Era()) })
 	return c
 }
 
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -272,7 +272,7 @@
 		prefixes = listingPrefixes
 	}
 	var records []directory.Record
-	var asOf uint64
+	var asOf, era uint64
 	for _, prefix := range prefixes {
 		for after, more := "", true; more; {
 			page, err := f.store.Range(ctx, prefix, after, stale)
@@ -282,6 +282,7 @@
 			if asOf == 0 || page.AsOf < asOf {
 				asOf = page.AsOf
 			}
+			era = page.Era
 			items := toRecords(page.Items)
 			f.applyUpdate(directory.Update{Records: items})
 			records = append(records, items...)
@@ -292,7 +293,10 @@
 	}
 	f.mu.Lock()
 	changed := f.table.Replace(f.now(), records, asOf)
+	known := f.table.AsOf()
 	f.mu.Unlock()
+	f.log.Info().Bool("stale", stale).Uint64(logging.Era, era).Uint64(logging.Revision, asOf).Uint64("known_revision", known).
+		Int("records", len(records)).Int("changed", len(changed)).Msg("store_listed")
 	f.apply(changed)
 	return nil
 }
@@ -307,6 +311,9 @@
 	if err != nil {
 		return err
 	}
+	if events.AsOf < after {
+		f.log.Warn().Uint64(logging.Era, events.Era).Uint64(logging.Revision, events.AsOf).Uint64("known_revision", after).Msg("store_behind")
+	}
 	u := directory.Update{Base: after, AsOf: events.AsOf, Records: directory.Latest(toRecords(events.Events))}
 	f.mu.Lock()
 	changed := f.table.Apply(f.now(), u)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -25,6 +25,8 @@
 	Count       = "count"
 	Duration    = "duration"
 	Address     = "address"
+	Era         = "era"      // number of times that the store was restored from an older copy
+	Revision    = "revision" // of the store
 )
 
 // New returns a logger that writes each event as one line of key=value pairs.
