--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -51,11 +51,19 @@
 	calls           map[string]int
 	changed         chan struct{}
 	staleSnapshot   *Store // contents that stale reads return; nil if they are current
+	era             uint64 // number of restores, from 1
+}
+
+// Copy is the contents of a store at one moment.
+type Copy struct {
+	items    map[string]item
+	leases   map[uint64]lease
+	revision uint64
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]lease), calls: make(map[string]int), changed: make(chan struct{})}
+	return &Store{items: make(map[string]item), revision: 1, era: 1, leases: make(map[uint64]lease), calls: make(map[string]int), changed: make(chan struct{})}
 }
 
 // SetFault sets the failure mode of subsequent calls.
@@ -103,6 +111,25 @@
 	s.notifyWatchers()
 }
 
+// Copy returns a copy of the contents.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{items: maps.Clone(s.items), leases: maps.Clone(s.leases), revision: s.revision}
+}
+
+// Restore replaces the contents by those of an older copy. Later changes get the revisions that
+// were given out since the copy once more, and a new era begins.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.leases, s.revision = maps.Clone(c.items), maps.Clone(c.leases), c.revision
+	s.era++
+	s.history = slices.DeleteFunc(slices.Clone(s.history), func(it item) bool { return it.Revision > c.revision })
+	s.staleSnapshot = nil
+	s.notifyWatchers()
+}
+
 // ExpireLeases expires all leases and removes their keys, as the platform may do in an outage.
 func (s *Store) ExpireLeases() {
 	s.mu.Lock()
@@ -192,8 +219,9 @@
 		s.mu.Lock()
 		s.calls[strings.Split(strings.TrimPrefix(r.URL.Path, "/monsoonthread/"), "/")[0]]++
 		s.expireLeases()
-		fault := s.fault
+		fault, era := s.fault, s.era
 		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 		switch {
 		case fault == Unavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -258,7 +286,9 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, compacted, changed, asOf := s.changesSince(q.Get("prefix"), after), after < s.droppedRevision, s.changed, s.revision
+		events, changed, asOf := s.changesSince(q.Get("prefix"), after), s.changed, s.revision
+		compacted := after < s.droppedRevision || after > s.revision
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if compacted {
 			w.WriteHeader(http.StatusGone)
