Order records by era and writer, so that a restored store is followed

Callers of a route that was added after the platform's store had come back from an older copy were not served, and kept the old routes of changed ones.

Cause: a position in the store's changes was its revision alone. A restored store gives revisions out again, so the table stayed complete up to a revision that the store did not have (410, listing, 410), and a record under a revision that was already known was dropped. The same comparison was made in the table, in the engine, in the status and pulls between instances, and for the base of a delta, where an equal revision could mean another value.

Change: a position is (era, revision), the era from the header Store-Era, kept as one ordered number. Between eras, the later one decides whether a key exists; the writer's own order (version; process start and sequence) decides which value holds, so that an older copy takes nothing back. Listings and watches that span two eras are repeated. A delta names the hash of its base. Ruled out: forgetting all records at a new era, which would bring back older versions and drop servers that register again within two seconds.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -1,12 +1,22 @@
 package directory
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Delta describes a value by its differences from the value of the same key at an earlier
-// revision. A change of a large configuration affects only a few of its routes.
+// position. A change of a large configuration affects only a few of its routes.
 type Delta struct {
-	Base  uint64 // revision of the earlier value
-	Parts []Part
+	Base    Position // of the earlier value
+	BaseSum uint64   // hash of the earlier value; tables may hold different values for one position after a restore
+	Parts   []Part
+}
+
+// newDelta returns the delta from an earlier record to a value of the same key.
+func newDelta(base *Record, value []byte) *Delta {
+	return &Delta{Base: base.Revision, BaseSum: xxhash.Sum64(base.Value), Parts: diff(base.Value, value)}
 }
 
 // Part is either a range of the earlier value or new bytes.
--- a/directory/table.go
+++ b/directory/table.go
@@ -1,23 +1,29 @@
 // Package directory holds the records that instances read from the platform's store and
-// exchange with each other. When records of one key are merged, the higher revision wins, so
-// they may arrive from any source in any order without reverting to an older value. The
-// package performs no I/O.
+// exchange with each other. When records of one key are merged, the later position wins within
+// an era of the store and the writer's order between eras, so they may arrive from any source in
+// any order without reverting to an older value. The package performs no I/O.
 package directory
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Record is a key's value at a revision of the store. A removed record keeps the last known
-// value, because open flows outlive the records of their servers.
+// Record is a key's value at a position of the store's changes. A removed record keeps the last
+// known value, because open flows outlive the records of their servers.
 type Record struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision Position
 	Removed  bool
+	// Unconfirmed marks a record that was removed in an earlier era and is back in the store with a
+	// value of that time: the copy is older than the removal, so the writer may be gone.
+	Unconfirmed bool
 	// Delta replaces Value in updates between instances.
 	Delta *Delta
 }
@@ -33,9 +39,10 @@
 type Table struct {
 	retention time.Duration
 	entries   map[string]*entry
-	asOf      uint64
-	// forgotten is the highest revision of a removed record that was deleted.
-	forgotten uint64
+	asOf      Position
+	// forgotten is the highest position of a removed record that was deleted.
+	forgotten Position
+	order     func(key string, value []byte) WriterOrder // nil if values have no order
 }
 
 // NewTable returns an empty table that keeps removed records for the retention time.
@@ -43,36 +50,38 @@
 	return &Table{retention: retention, entries: make(map[string]*entry)}
 }
 
-// AsOf returns the revision up to which the table is complete.
-func (t *Table) AsOf() uint64 { return t.asOf }
+// AsOf returns the position up to which the table is complete.
+func (t *Table) AsOf() Position { return t.asOf }
 
-// Update holds all changes of the store after revision Base up to AsOf.
+// Update holds all changes of the store after position Base up to AsOf.
 type Update struct {
-	Base, AsOf uint64
+	Base, AsOf Position
 	Records    []Record
 	// Complete marks the records as all that exist at AsOf: others were removed before.
 	Complete bool
 }
 
-// UpdateSince returns the changes after a revision. If removals since then have been deleted
-// from the table, the update is complete instead: a receiver that was cut off for longer than
-// the retention time would keep the records of servers that left.
-func (t *Table) UpdateSince(base uint64) Update {
-	if base > 0 && base < t.forgotten {
+// UpdateSince returns the changes after a position. The update is complete instead if removals
+// since then have been deleted from the table, as a receiver that was cut off for longer than the
+// retention time would keep the records of servers that left, and if the position is of an
+// earlier era, as the store may have lost what the receiver has.
+func (t *Table) UpdateSince(base Position) Update {
+	if base > 0 && (base < t.forgotten || base.Era() < t.asOf.Era()) {
 		return Update{AsOf: t.asOf, Records: t.Since(0), Complete: true}
 	}
 	return Update{Base: base, AsOf: t.asOf, Records: t.Since(base)}
 }
 
 // Apply applies an update and returns the records that changed the table. The table becomes
-// complete up to the update's revision only if it was complete up to the update's base and
-// every delta could be expanded.
+// complete up to the update's position only if it was complete up to the update's base in the
+// same era and every delta could be expanded.
 func (t *Table) Apply(now time.Duration, u Update) []Record {
 	if u.Complete {
 		return t.Replace(now, u.Records, u.AsOf)
 	}
 	changed, expanded := t.merge(now, u.Records)
-	if expanded && u.Base <= t.asOf {
+	sameEra := t.asOf == 0 || t.asOf.Era() == u.AsOf.Era()
+	if expanded && sameEra && u.Base <= t.asOf {
 		t.asOf = max(t.asOf, u.AsOf)
 	}
 	return changed
@@ -107,7 +116,7 @@
 	if known.Revision >= r.Revision {
 		return true // put ignores it
 	}
-	if known.Revision != r.Delta.Base {
+	if known.Revision != r.Delta.Base || xxhash.Sum64(known.Value) != r.Delta.BaseSum {
 		return false
 	}
 	value, ok := r.Delta.apply(known.Value)
@@ -129,21 +138,26 @@
 		if e == nil || r.Removed || len(r.Value) < minDeltaBytes || e.previous.Value == nil || e.Revision != r.Revision {
 			continue
 		}
-		out.Records[i].Value, out.Records[i].Delta = nil, &Delta{Base: e.previous.Revision, Parts: diff(e.previous.Value, r.Value)}
+		out.Records[i].Value, out.Records[i].Delta = nil, newDelta(&e.previous, r.Value)
 	}
 	return out
 }
 
-// put stores a record unless it is outdated, and reports whether it did. A removal without a
-// value keeps the last known one.
+// put stores a record unless it is outdated, and reports whether the stored value changed. A
+// removal without a value keeps the last known one.
 func (t *Table) put(now time.Duration, r *Record) bool {
 	known := t.entries[r.Key]
-	if known != nil && r.Revision <= known.Revision {
-		return false
-	}
 	if known == nil {
 		known = new(entry)
 		t.entries[r.Key] = known
+	} else if r.Revision.Era() != known.Revision.Era() {
+		*r = t.mergeEras(&known.Record, r)
+		if r.Removed == known.Removed && r.Unconfirmed == known.Unconfirmed && bytes.Equal(r.Value, known.Value) {
+			known.Revision = r.Revision
+			return false
+		}
+	} else if !t.isNewer(r, &known.Record) {
+		return false
 	}
 	if r.Removed {
 		known.removedAt = now
@@ -159,15 +173,25 @@
 	return true
 }
 
-// Replace applies a complete listing of the store that was started at revision asOf. Records
+// isNewer reports whether a record replaces the known one of the same era. Two records with one
+// position differ if only one of their tables knew the key before the store was restored.
+func (t *Table) isNewer(r, known *Record) bool {
+	if r.Revision != known.Revision || r.Removed || known.Removed {
+		return r.Revision > known.Revision
+	}
+	order := t.compareValues(r, known)
+	return order > 0 || order == 0 && r.Unconfirmed && !known.Unconfirmed
+}
+
+// Replace applies a complete listing of the store that was started at position asOf. Records
 // that are missing from the listing and older than asOf count as removed. It returns the
 // records that changed the table.
-func (t *Table) Replace(now time.Duration, listing []Record, asOf uint64) []Record {
+func (t *Table) Replace(now time.Duration, listing []Record, asOf Position) []Record {
 	listed := make(map[string]bool, len(listing))
 	for _, r := range listing {
 		listed[r.Key] = true
 	}
-	changed, _ := t.merge(now, listing)
+	changed, expanded := t.merge(now, listing)
 	for _, key := range slices.Sorted(maps.Keys(t.entries)) {
 		e := t.entries[key]
 		if listed[key] || e.Removed || e.Revision >= asOf {
@@ -178,15 +202,17 @@
 			changed = append(changed, removal)
 		}
 	}
-	t.asOf = max(t.asOf, asOf)
+	if expanded {
+		t.asOf = max(t.asOf, asOf)
+	}
 	return changed
 }
 
-// Since returns the records with a higher revision, ordered by revision.
-func (t *Table) Since(revision uint64) []Record {
+// Since returns the records with a later position, ordered by position.
+func (t *Table) Since(position Position) []Record {
 	var out []Record
 	for _, e := range t.entries {
-		if e.Revision > revision {
+		if e.Revision > position {
 			out = append(out, e.Record)
 		}
 	}
--- a/directory/table_test.go
+++ b/directory/table_test.go
@@ -16,7 +16,7 @@
 	var out []Record
 	for revision := range n {
 		key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
-		r := Record{Key: key, Revision: uint64(revision + 1), Removed: rapid.IntRange(0, 3).Draw(t, "removed") == 0}
+		r := Record{Key: key, Revision: Position(revision + 1), Removed: rapid.IntRange(0, 3).Draw(t, "removed") == 0}
 		if !r.Removed {
 			r.Value = []byte(fmt.Sprint("v", revision))
 		}
@@ -74,14 +74,14 @@
 				listing = append(listing, r)
 			}
 		}
-		listed.Replace(0, listing, uint64(len(records)))
+		listed.Replace(0, listing, Position(len(records)))
 		for key, r := range state(all) {
 			got, known := listed.Get(key)
 			if known == r.Removed || known && !bytes.Equal(got.Value, r.Value) {
 				t.Fatalf("key %s: listed %v %q, want removed %v %q", key, known, got.Value, r.Removed, r.Value)
 			}
 		}
-		if listed.AsOf() != uint64(len(records)) {
+		if listed.AsOf() != Position(len(records)) {
 			t.Fatalf("table is complete up to revision %d, want %d", listed.AsOf(), len(records))
 		}
 	})
@@ -108,7 +108,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			written = min(len(records), written+rapid.IntRange(0, 3).Draw(t, "written"))
 			watcher := tables[rapid.IntRange(0, 2).Draw(t, "watcher")]
-			u := Update{Base: watcher.AsOf(), AsOf: max(uint64(written), watcher.AsOf())}
+			u := Update{Base: watcher.AsOf(), AsOf: max(Position(written), watcher.AsOf())}
 			for _, r := range records[:written] {
 				if r.Revision > u.Base {
 					u.Records = append(u.Records, r)
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -28,7 +28,7 @@
 	Draining  bool
 	ColdLeft  time.Duration // remaining time for which the server is slow after its start
 	StartedAt int64         // start time of the process as reported by the server; 0 if unknown
-	Revision  uint64        // of the record
+	Revision  uint64        // position of the record in the order of all changes
 }
 
 type service struct {
@@ -97,14 +97,14 @@
 	return s
 }
 
-// PutServer applies a record of a backend server. A record whose revision is not newer than
-// the known one is ignored.
+// PutServer applies a record of a backend server. A record that is older than the known one is
+// ignored.
 func (e *Engine) PutServer(now time.Duration, in Server) []Action {
 	s := e.servers[in.Name]
 	known := s != nil
 	if !known {
 		s = e.addServer(in)
-	} else if in.Revision <= s.Revision {
+	} else if in.Revision < s.Revision || s.listed && in == s.Server {
 		return nil
 	}
 	restarted := !s.listed || in.StartedAt != s.StartedAt
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -137,10 +137,10 @@
 
 func (r forwardersResult) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "FAILURE DOMAIN\tINSTANCE\tSTATUS ADDRESS\tSTATE\tVERSION\tREVISION\tAGE\tWATCHES\tALIVE PEERS\tFLOWS\tREQUESTS")
+	fmt.Fprintln(t, "FAILURE DOMAIN\tINSTANCE\tSTATUS ADDRESS\tSTATE\tVERSION\tERA\tREVISION\tAGE\tWATCHES\tALIVE PEERS\tFLOWS\tREQUESTS")
 	for _, s := range r.Instances {
 		if s.Error != "" {
-			fmt.Fprintf(t, "?\t?\t%s\tunreachable\t\t\t\t\t\t\t\n", s.Address)
+			fmt.Fprintf(t, "?\t?\t%s\tunreachable\t\t\t\t\t\t\t\t\n", s.Address)
 			continue
 		}
 		alive := 0
@@ -149,7 +149,7 @@
 				alive++
 			}
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%t\t%d/%d\t%d\t%d\n", s.Domain, s.Instance, s.Address, s.State, s.Version, s.Revision,
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%t\t%d/%d\t%d\t%d\n", s.Domain, s.Instance, s.Address, s.State, s.Version, s.Era, s.Revision,
 			formatAge(s.RecordsAge), s.Watching, alive, len(s.Members), s.Flows, s.PendingRequests)
 	}
 	t.Flush()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/monsoonthread/monsoonthread/forwarding"
 	"github.com/monsoonthread/monsoonthread/mesh"
 	"github.com/monsoonthread/monsoonthread/platform/kv"
+	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
 )
 
@@ -96,6 +97,7 @@
 		table:         directory.NewTable(2 * s.MaxFlowLifetime),
 		askers:        make(askers),
 	}
+	f.table.OrderValuesBy(wire.WriterOrder)
 	f.engine = forwarding.New(forwarding.Config{
 		Domain:            s.FailureDomain,
 		CookieLifetime:    2 * s.MaxFlowLifetime,
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -55,7 +55,12 @@
 	set.NewGauge("forwarder_records_revision", func() float64 {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return float64(f.table.AsOf())
+		return float64(f.table.AsOf().Revision())
+	})
+	set.NewGauge("forwarder_records_era", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return float64(f.table.AsOf().Era())
 	})
 	set.NewGauge("forwarder_peers_alive", func() float64 {
 		f.mu.Lock()
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -141,7 +141,7 @@
 
 // status returns the status of this instance. The caller must hold mu.
 func (f *Forwarder) status(now time.Duration) mesh.Status {
-	return f.mesh.OwnStatus(now, f.incarnation, f.table.AsOf(), f.lifecycle.leaving.Load())
+	return f.mesh.OwnStatus(now, f.incarnation, uint64(f.table.AsOf()), f.lifecycle.leaving.Load())
 }
 
 // sendStatus sends status and loads to peers in the same failure domain. The delegate of a
@@ -200,7 +200,7 @@
 	f.mu.Unlock()
 	b := exchange.Append(nil, &m)
 	if len(b) > exchange.MaxDatagramBytes {
-		f.sendStatus() // too large for a datagram; peers see the new revision and pull
+		f.sendStatus() // too large for a datagram; peers see the new position and pull
 		return
 	}
 	f.sendEncoded(b, to)
@@ -234,14 +234,14 @@
 	f.sendDatagram(&m, to)
 }
 
-// pullMissing pulls records from a peer whose revision is ahead, if there is one.
+// pullMissing pulls records from a peer whose records are ahead, if there is one.
 func (f *Forwarder) pullMissing(ctx context.Context) {
 	f.mu.Lock()
 	now := f.now()
 	asOf := f.table.AsOf()
-	from, behind := f.mesh.PullFrom(now, asOf)
+	from, behind := f.mesh.PullFrom(now, uint64(asOf))
 	if !behind {
-		f.mesh.ApplyConfirmations(now, asOf)
+		f.mesh.ApplyConfirmations(now, uint64(asOf))
 	}
 	f.mu.Unlock()
 	if !behind {
@@ -252,8 +252,8 @@
 	}
 }
 
-// pull requests the records after a revision from a peer and applies them.
-func (f *Forwarder) pull(ctx context.Context, from netip.AddrPort, asOf uint64) error {
+// pull requests the records after a position from a peer and applies them.
+func (f *Forwarder) pull(ctx context.Context, from netip.AddrPort, asOf directory.Position) error {
 	dialer := net.Dialer{Timeout: pullTimeout / 2}
 	conn, err := dialer.DialContext(ctx, "tcp4", from.String())
 	if err != nil {
@@ -283,7 +283,7 @@
 	f.mu.Unlock()
 	f.applyUpdate(m.Update)
 	f.mu.Lock()
-	f.mesh.ApplyConfirmations(f.now(), f.table.AsOf())
+	f.mesh.ApplyConfirmations(f.now(), uint64(f.table.AsOf()))
 	f.mu.Unlock()
 	return nil
 }
@@ -304,7 +304,7 @@
 	}
 }
 
-// servePull responds with the records after a revision. A pull of all records gets a
+// servePull responds with the records after a position. A pull of all records gets a
 // response without records while too many of them are in progress.
 func (f *Forwarder) servePull(conn net.Conn) {
 	defer conn.Close()
@@ -317,8 +317,11 @@
 		return
 	}
 	base := request.Update.Base
+	f.mu.Lock()
+	era := f.table.AsOf().Era()
+	f.mu.Unlock()
 	withRecords := true
-	if base == 0 {
+	if base == 0 || base.Era() < era {
 		select {
 		case f.fullPullSlots <- struct{}{}:
 			defer func() { <-f.fullPullSlots }()
--- a/internal/forwarder/status.go
+++ b/internal/forwarder/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/monsoonthread/monsoonthread/directory"
 	"github.com/monsoonthread/monsoonthread/forwarding"
 	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
 	"github.com/monsoonthread/monsoonthread/result"
@@ -24,12 +25,14 @@
 	now := f.now()
 	stats := f.engine.Stats()
 	out.Version, out.Flows, out.PendingRequests = stats.Version, stats.Flows, stats.PendingRequests
-	out.Revision, out.Watching = f.table.AsOf(), f.mesh.Watching()
+	asOf := f.table.AsOf()
+	out.Era, out.Revision, out.Watching = asOf.Era(), asOf.Revision(), f.mesh.Watching()
 	if age, ok := f.mesh.ConfirmationAge(now); ok {
 		out.RecordsAge = secondsPtr(age)
 	}
 	for _, m := range f.mesh.View(now) {
-		member := view.Member{Instance: m.ID, Domain: m.Domain, Address: m.Address.String(), Alive: m.Alive, Watching: m.Watching, Revision: m.AsOf}
+		asOf := directory.Position(m.AsOf)
+		member := view.Member{Instance: m.ID, Domain: m.Domain, Address: m.Address.String(), Alive: m.Alive, Watching: m.Watching, Era: asOf.Era(), Revision: asOf.Revision()}
 		if m.HeardAgo >= 0 {
 			member.HeardAgo = secondsPtr(m.HeardAgo)
 		}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -103,10 +103,10 @@
 func (f *Forwarder) finishInitialSync() {
 	f.mu.Lock()
 	f.engine.SetComplete()
-	stats, revision := f.engine.Stats(), f.table.AsOf()
+	stats, asOf := f.engine.Stats(), f.table.AsOf()
 	f.mu.Unlock()
 	f.initialSyncDone.Store(true)
-	f.log.Info().Int("servers", stats.Listed).Uint64(logging.Version, stats.Version).Uint64("revision", revision).Msg("records_loaded")
+	f.log.Info().Int("servers", stats.Listed).Uint64(logging.Version, stats.Version).Uint64(logging.Era, asOf.Era()).Uint64(logging.Revision, asOf.Revision()).Msg("records_loaded")
 	f.checkReady()
 }
 
@@ -272,18 +272,22 @@
 		prefixes = listingPrefixes
 	}
 	var records []directory.Record
-	var asOf, era uint64
+	var asOf directory.Position
 	for _, prefix := range prefixes {
 		for after, more := "", true; more; {
 			page, err := f.store.Range(ctx, prefix, after, stale)
 			if err != nil {
 				return err
 			}
-			if asOf == 0 || page.AsOf < asOf {
-				asOf = page.AsOf
+			items, pageAsOf, err := toRecords(page.Items, page.Era, page.AsOf)
+			switch {
+			case err != nil:
+				return err
+			case asOf > 0 && pageAsOf.Era() != asOf.Era():
+				return result.Errorf(result.StoreHistoryGone, "the store changed from era %d to %d during a listing", asOf.Era(), pageAsOf.Era())
+			case asOf == 0 || pageAsOf < asOf:
+				asOf = pageAsOf
 			}
-			era = page.Era
-			items := toRecords(page.Items)
 			f.applyUpdate(directory.Update{Records: items})
 			records = append(records, items...)
 			if more = page.More && len(page.Items) > 0; more {
@@ -292,10 +296,10 @@
 		}
 	}
 	f.mu.Lock()
-	changed := f.table.Replace(f.now(), records, asOf)
 	known := f.table.AsOf()
+	changed := f.table.Replace(f.now(), records, asOf)
 	f.mu.Unlock()
-	f.log.Info().Bool("stale", stale).Uint64(logging.Era, era).Uint64(logging.Revision, asOf).Uint64("known_revision", known).
+	f.log.Info().Bool("stale", stale).Uint64(logging.Era, asOf.Era()).Uint64(logging.Revision, asOf.Revision()).Stringer("known", known).
 		Int("records", len(records)).Int("changed", len(changed)).Msg("store_listed")
 	f.apply(changed)
 	return nil
@@ -307,14 +311,22 @@
 	f.mu.Lock()
 	after := f.table.AsOf()
 	f.mu.Unlock()
-	events, err := f.store.Watch(ctx, allKeysPrefix, after, wait)
+	events, err := f.store.Watch(ctx, allKeysPrefix, after.Revision(), wait)
 	if err != nil {
 		return err
 	}
-	if events.AsOf < after {
-		f.log.Warn().Uint64(logging.Era, events.Era).Uint64(logging.Revision, events.AsOf).Uint64("known_revision", after).Msg("store_behind")
+	records, asOf, err := toRecords(events.Events, events.Era, events.AsOf)
+	if err != nil {
+		return err
 	}
-	u := directory.Update{Base: after, AsOf: events.AsOf, Records: directory.Latest(toRecords(events.Events))}
+	if asOf.Era() != after.Era() {
+		// The changes follow a revision of another history.
+		return result.Errorf(result.StoreHistoryGone, "the store is in era %d, the records are of era %d", asOf.Era(), after.Era())
+	}
+	if asOf < after {
+		f.log.Warn().Uint64(logging.Era, asOf.Era()).Uint64(logging.Revision, asOf.Revision()).Stringer("known", after).Msg("store_behind")
+	}
+	u := directory.Update{Base: after, AsOf: asOf, Records: directory.Latest(records)}
 	f.mu.Lock()
 	changed := f.table.Apply(f.now(), u)
 	f.mu.Unlock()
@@ -327,19 +339,30 @@
 	return nil
 }
 
-func toRecords(items []kv.Item) []directory.Record {
+// toRecords converts the items of a response with the revision asOf. All revisions in it are of
+// the era that the response names.
+func toRecords(items []kv.Item, era, asOf uint64) ([]directory.Record, directory.Position, error) {
 	records := make([]directory.Record, 0, len(items))
 	for _, i := range items {
-		records = append(records, directory.Record{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+		at, ok := directory.NewPosition(era, i.Revision)
+		if !ok {
+			return nil, 0, result.Errorf(result.StoreMalformed, "key %s: revision %d of era %d is out of range", i.Key, i.Revision, era)
+		}
+		records = append(records, directory.Record{Key: i.Key, Value: i.Value, Revision: at, Removed: i.Removed})
+	}
+	at, ok := directory.NewPosition(era, asOf)
+	if !ok {
+		return nil, 0, result.Errorf(result.StoreMalformed, "revision %d of era %d is out of range", asOf, era)
 	}
-	return records
+	return records, at, nil
 }
 
 // apply passes changed records to the engine.
 func (f *Forwarder) apply(changed []directory.Record) {
 	for _, r := range changed {
 		switch {
-		case r.Key == wire.ConfigurationKey && !r.Removed:
+		case r.Key == wire.ConfigurationKey && r.Value != nil:
+			// Also if it is removed: a store that lost it does not withdraw it.
 			f.applyConfiguration(r)
 		case strings.HasPrefix(r.Key, wire.ServerPrefix):
 			f.applyServer(r)
@@ -370,14 +393,14 @@
 	f.mu.Lock()
 	inForce := f.engine.Configure(f.now(), c)
 	f.mu.Unlock()
-	f.log.Info().Uint64(logging.Version, c.Version).Int("routes", len(c.Routes)).Uint64("revision", r.Revision).Bool("in_force", inForce).Msg("configuration")
+	f.log.Info().Uint64(logging.Version, c.Version).Int("routes", len(c.Routes)).Stringer(logging.Revision, r.Revision).Bool("in_force", inForce).Msg("configuration")
 }
 
 func (f *Forwarder) applyServer(r directory.Record) {
 	if r.Value == nil {
 		return // removal of an unknown record
 	}
-	s, err := wire.DecodeServer(r.Key, r.Value, r.Revision)
+	s, err := wire.DecodeServer(r.Key, r.Value, uint64(r.Revision))
 	if err != nil {
 		f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
 		return
@@ -394,7 +417,7 @@
 		return // a line for each of hundreds of servers would delay the start by 70 ms
 	}
 	f.events.newEvent(zerolog.InfoLevel).Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
-		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.StartedAt).Uint64("revision", r.Revision).Msg("server")
+		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.StartedAt).Stringer(logging.Revision, r.Revision).Msg("server")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/forwarder/view/view.go
+++ b/internal/forwarder/view/view.go
@@ -14,7 +14,8 @@
 	Domain          string   `json:"failure_domain"`
 	State           string   `json:"state"` // starting, ready or leaving
 	Version         uint64   `json:"config_version"`
-	Revision        uint64   `json:"records_revision"` // store revision up to which the records are complete
+	Era             uint64   `json:"records_era"`      // number of times that the store was restored from an older copy, as far as the records show
+	Revision        uint64   `json:"records_revision"` // store revision of that era up to which the records are complete
 	Watching        bool     `json:"watching"`         // reads the store on behalf of its failure domain
 	RecordsAge      *float64 `json:"records_age_s"`    // time since the records were last known to be current; null if never
 	Flows           int      `json:"flows"`
@@ -30,6 +31,7 @@
 	Address  string   `json:"peer_address"`
 	Alive    bool     `json:"alive"`
 	Watching bool     `json:"watching"`
+	Era      uint64   `json:"records_era"`
 	Revision uint64   `json:"records_revision"`
 	HeardAgo *float64 `json:"heard_ago_s"` // time since its last message; null if there was none
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -38,7 +38,7 @@
 type Status struct {
 	Peer
 	Incarnation     uint64        // changes at each start
-	AsOf            uint64        // store revision up to which its records are complete
+	AsOf            uint64        // position in the store's changes up to which its records are complete
 	ConfirmationAge time.Duration // time since its records were last known to be current
 	Watching        bool          // it watches the store
 	Leaving         bool
--- a/mesh/pull.go
+++ b/mesh/pull.go
@@ -15,7 +15,7 @@
 	firstGenerationSize = 3
 )
 
-// PullFrom returns a live peer whose records have been complete up to a higher revision for
+// PullFrom returns a live peer whose records have been complete up to a later position for
 // so long that a pushed record should have arrived. Peers of the own failure domain are
 // preferred.
 func (m *Mesh) PullFrom(now time.Duration, asOf uint64) (Peer, bool) {
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -7,7 +7,7 @@
 	Peer
 	Alive    bool
 	Watching bool          // it watched the store when it was last heard
-	AsOf     uint64        // store revision up to which its records were complete
+	AsOf     uint64        // position in the store's changes up to which its records were complete
 	HeardAgo time.Duration // negative if it was never heard
 }
 
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -72,7 +72,7 @@
 }
 
 // ApplyConfirmations applies the confirmations that watchers of any failure domain have passed
-// on: records that are complete up to a watcher's revision are as current as the watcher's.
+// on: records that are complete up to a watcher's position are as current as the watcher's.
 func (m *Mesh) ApplyConfirmations(now time.Duration, asOf uint64) {
 	for _, p := range m.members {
 		if !p.alive(now, m.aliveTime()) || p.status.AsOf > asOf {
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -68,6 +68,8 @@
 	fieldAlive       = 11
 	fieldComplete    = 12
 	fieldReset       = 13
+	fieldBaseEra     = 14
+	fieldAsOfEra     = 15
 )
 
 // Append appends the encoded message to b and returns the extended slice.
@@ -84,8 +86,8 @@
 	for i := range m.Update.Records {
 		b = appendBytes(b, fieldRecord, appendRecord(nil, &m.Update.Records[i]))
 	}
-	b = appendUint(b, fieldBase, m.Update.Base)
-	b = appendUint(b, fieldAsOf, m.Update.AsOf)
+	b = appendPosition(b, fieldBase, fieldBaseEra, m.Update.Base)
+	b = appendPosition(b, fieldAsOf, fieldAsOfEra, m.Update.AsOf)
 	b = appendBool(b, fieldComplete, m.Update.Complete)
 	for i := range m.Members {
 		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
@@ -119,6 +121,24 @@
 	return protowire.AppendVarint(b, v)
 }
 
+// appendPosition appends the revision and the era as two fields. Earlier versions of the program
+// read only the revision.
+func appendPosition(b []byte, revision, era protowire.Number, p directory.Position) []byte {
+	return appendUint(appendUint(b, revision, p.Revision()), era, p.Era())
+}
+
+// position is a position whose two fields arrive in any order.
+type position struct{ era, revision uint64 }
+
+func (p position) decode(out *directory.Position) error {
+	decoded, ok := directory.NewPosition(p.era, p.revision)
+	if !ok {
+		return errors.New("position out of range")
+	}
+	*out = decoded
+	return nil
+}
+
 func appendBool(b []byte, field protowire.Number, v bool) []byte {
 	return appendUint(b, field, protowire.EncodeBool(v))
 }
@@ -132,7 +152,7 @@
 func appendStatus(b []byte, s *mesh.Status) []byte {
 	b = appendBytes(b, 1, appendPeer(nil, &s.Peer))
 	b = appendUint(b, 2, s.Incarnation)
-	b = appendUint(b, 3, s.AsOf)
+	b = appendPosition(b, 3, 7, directory.Position(s.AsOf))
 	b = appendUint(b, 4, uint64(s.ConfirmationAge/time.Millisecond))
 	b = appendBool(b, 5, s.Watching)
 	return appendBool(b, 6, s.Leaving)
@@ -157,12 +177,14 @@
 	if r.Value != nil {
 		b = appendBytes(b, 2, r.Value)
 	}
-	b = appendUint(b, 3, r.Revision)
+	b = appendPosition(b, 3, 7, r.Revision)
 	b = appendBool(b, 4, r.Removed)
+	b = appendBool(b, 8, r.Unconfirmed)
 	if r.Delta == nil {
 		return b
 	}
-	b = appendUint(b, 5, r.Delta.Base)
+	b = appendPosition(b, 5, 9, r.Delta.Base)
+	b = appendUint(b, 10, r.Delta.BaseSum)
 	for i := range r.Delta.Parts {
 		b = appendBytes(b, 6, appendPart(nil, &r.Delta.Parts[i]))
 	}
@@ -182,6 +204,7 @@
 // malformed.
 func Decode(b []byte) (*Message, error) {
 	m := new(Message)
+	var base, asOf position
 	err := forEachField(b, func(field protowire.Number, bytes []byte, number uint64) error {
 		switch field {
 		case fieldStatus:
@@ -194,9 +217,13 @@
 		case fieldRecord:
 			return decodeRecord(bytes, &m.Update.Records)
 		case fieldBase:
-			m.Update.Base = number
+			base.revision = number
+		case fieldBaseEra:
+			base.era = number
 		case fieldAsOf:
-			m.Update.AsOf = number
+			asOf.revision = number
+		case fieldAsOfEra:
+			asOf.era = number
 		case fieldComplete:
 			m.Update.Complete = number != 0
 		case fieldSuspect:
@@ -218,7 +245,7 @@
 		}
 		return nil
 	})
-	if err != nil {
+	if err = errors.Join(err, base.decode(&m.Update.Base), asOf.decode(&m.Update.AsOf)); err != nil {
 		return nil, result.Errorf(result.PeerProtocol, "message: %w", err)
 	}
 	return m, nil
@@ -276,14 +303,17 @@
 )
 
 func decodeStatus(b []byte, s *mesh.Status) error {
-	return forEachField(b, func(field protowire.Number, bytes []byte, number uint64) error {
+	var asOf position
+	err := forEachField(b, func(field protowire.Number, bytes []byte, number uint64) error {
 		switch field {
 		case 1:
 			return decodePeer(bytes, &s.Peer)
 		case 2:
 			s.Incarnation = number
 		case 3:
-			s.AsOf = number
+			asOf.revision = number
+		case 7:
+			asOf.era = number
 		case 4:
 			s.ConfirmationAge = time.Duration(min(number, maxAge)) * time.Millisecond
 		case 5:
@@ -293,6 +323,10 @@
 		}
 		return nil
 	})
+	var decoded directory.Position
+	err = errors.Join(err, asOf.decode(&decoded))
+	s.AsOf = uint64(decoded)
+	return err
 }
 
 const (
@@ -335,6 +369,7 @@
 
 func decodeRecord(b []byte, out *[]directory.Record) error {
 	var r directory.Record
+	var revision, base position
 	err := forEachField(b, func(field protowire.Number, bytes []byte, number uint64) error {
 		switch field {
 		case 1:
@@ -342,11 +377,21 @@
 		case 2:
 			r.Value = append([]byte{}, bytes...)
 		case 3:
-			r.Revision = number
+			revision.revision = number
+		case 7:
+			revision.era = number
 		case 4:
 			r.Removed = number != 0
+		case 8:
+			r.Unconfirmed = number != 0
 		case 5:
-			r.Delta = &directory.Delta{Base: number}
+			r.Delta, base.revision = new(directory.Delta), number
+		case 9:
+			base.era = number
+		case 10:
+			if r.Delta != nil {
+				r.Delta.BaseSum = number
+			}
 		case 6:
 			if r.Delta == nil {
 				return errors.New("part of a delta without its base")
@@ -355,6 +400,10 @@
 		}
 		return nil
 	})
+	err = errors.Join(err, revision.decode(&r.Revision))
+	if r.Delta != nil {
+		err = errors.Join(err, base.decode(&r.Delta.Base))
+	}
 	*out = append(*out, r)
 	return err
 }
