Pulls from an instance that has listed the store include removals

After an instance had been started again, a peer that was behind kept a server that had left: it pulled from the new instance, which had listed the store and so never knew the server, and counted as complete afterwards.

Cause: an update after a position held the records that changed, but a table that began with a listing or a pull of all records does not know what was removed before.

Change: such a table answers with a complete update: the changed records and the hashes of the keys that are kept, 8 bytes each. It replaces the flag by which all records followed; earlier versions of the program read the new form as a plain update.

--- a/directory/table.go
+++ b/directory/table.go
@@ -40,7 +40,8 @@
 	retention time.Duration
 	entries   map[string]*entry
 	asOf      Position
-	// forgotten is the highest position of a removed record that was deleted.
+	// forgotten is the position up to which the table may lack removals: those that were deleted
+	// after the retention time, and those before the listing that the table began with.
 	forgotten Position
 	order     func(key string, value []byte) WriterOrder // nil if values have no order
 }
@@ -57,19 +58,27 @@
 type Update struct {
 	Base, AsOf Position
 	Records    []Record
-	// Complete marks the records as all that exist at AsOf: others were removed before.
+	// Complete marks an update after which nothing else exists at AsOf but its records and those
+	// whose keys have a hash in Kept: others were removed before.
 	Complete bool
+	Kept     []uint64
 }
 
-// UpdateSince returns the changes after a position. The update is complete instead if removals
-// since then have been deleted from the table, as a receiver that was cut off for longer than the
-// retention time would keep the records of servers that left, and if the position is of an
-// earlier era, as the store may have lost what the receiver has.
+// UpdateSince returns the changes after a position; 0 stands for all records. The update is
+// complete if this table may not know all removals since then, as the receiver would keep the
+// records of servers that left, and if the position is of an earlier era, as the store may have
+// lost what the receiver has.
 func (t *Table) UpdateSince(base Position) Update {
-	if base > 0 && (base < t.forgotten || base.Era() < t.asOf.Era()) {
-		return Update{AsOf: t.asOf, Records: t.Since(0), Complete: true}
+	u := Update{Base: base, AsOf: t.asOf, Records: t.Since(base)}
+	if u.Complete = t.asOf > 0 && (base == 0 || base < t.forgotten || base.Era() < t.asOf.Era()); !u.Complete {
+		return u
 	}
-	return Update{Base: base, AsOf: t.asOf, Records: t.Since(base)}
+	for key, e := range t.entries {
+		if !e.Removed && e.Revision <= base {
+			u.Kept = append(u.Kept, xxhash.Sum64String(key))
+		}
+	}
+	return u
 }
 
 // Apply applies an update and returns the records that changed the table. The table becomes
@@ -77,13 +86,16 @@
 // same era and every delta could be expanded.
 func (t *Table) Apply(now time.Duration, u Update) []Record {
 	if u.Complete {
-		return t.Replace(now, u.Records, u.AsOf)
+		return t.replace(now, u.Records, u.Kept, u.AsOf)
 	}
 	changed, expanded := t.merge(now, u.Records)
 	sameEra := t.asOf == 0 || t.asOf.Era() == u.AsOf.Era()
 	if expanded && sameEra && u.Base <= t.asOf {
 		t.asOf = max(t.asOf, u.AsOf)
 	}
+	if u.Base == 0 {
+		t.forgotten = max(t.forgotten, u.AsOf)
+	}
 	return changed
 }
 
@@ -144,7 +156,7 @@
 }
 
 // put stores a record unless it is outdated, and reports whether the stored value changed. A
-// removal without a value keeps the last known one.
+// removal keeps the last known value.
 func (t *Table) put(now time.Duration, r *Record) bool {
 	known := t.entries[r.Key]
 	if known == nil {
@@ -161,7 +173,7 @@
 	}
 	if r.Removed {
 		known.removedAt = now
-		if r.Value == nil {
+		if r.Value == nil || t.compareValues(r, &known.Record) < 0 {
 			r.Value = known.Value
 		}
 	}
@@ -187,14 +199,23 @@
 // that are missing from the listing and older than asOf count as removed. It returns the
 // records that changed the table.
 func (t *Table) Replace(now time.Duration, listing []Record, asOf Position) []Record {
-	listed := make(map[string]bool, len(listing))
+	return t.replace(now, listing, nil, asOf)
+}
+
+func (t *Table) replace(now time.Duration, listing []Record, kept []uint64, asOf Position) []Record {
+	listed := make(map[uint64]bool, len(listing)+len(kept))
+	for _, hash := range kept {
+		listed[hash] = true
+	}
 	for _, r := range listing {
-		listed[r.Key] = true
+		if !r.Removed {
+			listed[xxhash.Sum64String(r.Key)] = true
+		}
 	}
 	changed, expanded := t.merge(now, listing)
 	for _, key := range slices.Sorted(maps.Keys(t.entries)) {
 		e := t.entries[key]
-		if listed[key] || e.Removed || e.Revision >= asOf {
+		if e.Removed || e.Revision >= asOf || listed[xxhash.Sum64String(key)] {
 			continue
 		}
 		removal := Record{Key: key, Revision: asOf, Removed: true}
@@ -205,6 +226,7 @@
 	if expanded {
 		t.asOf = max(t.asOf, asOf)
 	}
+	t.forgotten = max(t.forgotten, asOf)
 	return changed
 }
 
--- a/directory/table_test.go
+++ b/directory/table_test.go
@@ -257,3 +257,15 @@
 		t.Errorf("after the pull: b known %v, complete up to %d; want true, 3", ok, cutOff.AsOf())
 	}
 }
+
+// Guards against a server that left and stays in use: an instance that has listed the store does
+// not know which records were removed before, and a peer that is behind pulls from it.
+func TestPullFromAListedTableIncludesRemovals(t *testing.T) {
+	behind, listed := NewTable(time.Hour), NewTable(time.Hour)
+	behind.Apply(0, Update{AsOf: 5, Records: []Record{{Key: "servers/a", Value: []byte("a"), Revision: 4}, {Key: "servers/b", Value: []byte("b"), Revision: 5}}})
+	listed.Replace(0, []Record{{Key: "servers/b", Value: []byte("b"), Revision: 5}}, 7)
+	behind.Apply(0, listed.UpdateSince(behind.AsOf()))
+	if r, ok := behind.Get("servers/a"); ok || behind.AsOf() != 7 {
+		t.Errorf("after the pull: record %v known %v, complete up to %v; want none, 0/7", r, ok, behind.AsOf())
+	}
+}
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"encoding/binary"
 	"errors"
 	"net/netip"
 	"time"
@@ -66,10 +67,11 @@
 	fieldFailure     = 9
 	fieldAsk         = 10
 	fieldAlive       = 11
-	fieldComplete    = 12
+	fieldComplete    = 12 // in earlier versions of the program: all records follow
 	fieldReset       = 13
 	fieldBaseEra     = 14
 	fieldAsOfEra     = 15
+	fieldKept        = 16
 )
 
 // Append appends the encoded message to b and returns the extended slice.
@@ -88,7 +90,9 @@
 	}
 	b = appendPosition(b, fieldBase, fieldBaseEra, m.Update.Base)
 	b = appendPosition(b, fieldAsOf, fieldAsOfEra, m.Update.AsOf)
-	b = appendBool(b, fieldComplete, m.Update.Complete)
+	if m.Update.Complete {
+		b = appendBytes(b, fieldKept, appendHashes(nil, m.Update.Kept))
+	}
 	for i := range m.Members {
 		b = appendBytes(b, fieldMember, appendPeer(nil, &m.Members[i]))
 	}
@@ -99,6 +103,24 @@
 	return appendCookies(b, fieldAlive, m.Alive)
 }
 
+// appendHashes appends hashes of keys, 8 bytes each.
+func appendHashes(b []byte, hashes []uint64) []byte {
+	for _, h := range hashes {
+		b = binary.LittleEndian.AppendUint64(b, h)
+	}
+	return b
+}
+
+func decodeHashes(b []byte, out *[]uint64) error {
+	if len(b)%8 != 0 {
+		return errors.New("hashes of keys are not 8 bytes each")
+	}
+	for ; len(b) > 0; b = b[8:] {
+		*out = append(*out, binary.LittleEndian.Uint64(b))
+	}
+	return nil
+}
+
 func appendCookies(b []byte, field protowire.Number, cookies []uint32) []byte {
 	for _, cookie := range cookies {
 		b = protowire.AppendTag(b, field, protowire.VarintType)
@@ -226,6 +248,9 @@
 			asOf.era = number
 		case fieldComplete:
 			m.Update.Complete = number != 0
+		case fieldKept:
+			m.Update.Complete = true
+			return decodeHashes(bytes, &m.Update.Kept)
 		case fieldSuspect:
 			m.Suspects = append(m.Suspects, uint32(number))
 		case fieldFailure:
--- a/peer/exchange/exchange_test.go
+++ b/peer/exchange/exchange_test.go
@@ -33,7 +33,15 @@
 
 // Guards against fields that are lost or changed by encoding and decoding.
 func TestRoundTrip(t *testing.T) {
-	for _, m := range []*Message{exampleMessage(), {}, {Update: directory.Update{Base: 3}}} {
+	later, _ := directory.NewPosition(3, 20)
+	restored := &Message{
+		Status: &mesh.Status{AsOf: uint64(later), Peer: exampleMessage().Status.Peer},
+		Update: directory.Update{Base: 8, AsOf: later, Complete: true, Kept: []uint64{1, 1 << 63}, Records: []directory.Record{
+			{Key: "op/config", Revision: later, Delta: &directory.Delta{Base: later, BaseSum: 1 << 60}},
+			{Key: "servers/i-1", Value: []byte{0}, Revision: later, Unconfirmed: true},
+		}},
+	}
+	for _, m := range []*Message{exampleMessage(), {}, {Update: directory.Update{Base: 3}}, {Update: directory.Update{Complete: true}}, restored} {
 		got, err := Decode(Append(nil, m))
 		if err != nil {
 			t.Fatal(err)
