A server that had left gets new flows after a restore only once it answers

New flows went to a server that had left: the store came back from an older copy, which still listed it, and the entry lapsed only seconds later. If its address belonged to another server by then, which the copy did not know, that server's open flows were reset.

Cause: a record that is present counted as a sign of life of its server. In a new era it may be older than the removal.

Change: a record that was removed in an earlier era and is back with a value that its writer had written before is marked unconfirmed, also in pulls, so that instances that start later know. The server gets new flows after it has answered a probe or sent packets, and its record takes no address from another server.

--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -67,7 +67,7 @@
 	case "flood":
 		s.flood(t, args)
 	case "probe_result":
-		s.probeResult(args)
+		s.probeResult(t, args)
 	case "suspect":
 		s.actions(s.e.Suspect(s.now, uint32(number(t, args["cookie"]))))
 	case "least_loaded":
@@ -148,7 +148,7 @@
 	return Server{
 		Name: args["id"], ID: number(t, args["id"]), Service: service, Domain: domain, Slots: 2,
 		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number(t, args["host"]))}), 80),
-		Draining: args["draining"] != "", StartedAt: int64(number(t, args["started"])), Revision: s.rev,
+		Draining: args["draining"] != "", StartedAt: int64(number(t, args["started"])), Revision: s.rev, Unconfirmed: args["unconfirmed"] != "",
 	}
 }
 
@@ -178,14 +178,15 @@
 	return d.Reason.String()
 }
 
-func (s *script) probeResult(args map[string]string) {
+func (s *script) probeResult(t *testing.T, args map[string]string) {
 	outcomes := []string{"answered", "refused", "silent", "mute", "other"}
 	elapsed := 2 * time.Millisecond
 	_, stalled := args["stalled"]
 	references := []string{"", "answered", "late"}
 	s.actions(s.e.ApplyProbeResult(s.now, args["id"], ProbeResult{
 		Outcome: ProbeOutcome(slices.Index(outcomes, args["outcome"])), Elapsed: elapsed, Stalled: stalled,
-		Reference: ReferenceOutcome(slices.Index(references, args["reference"])),
+		Reference:   ReferenceOutcome(slices.Index(references, args["reference"])),
+		Incarnation: uint32(number(t, args["incarnation"])),
 	}))
 }
 
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -116,6 +116,7 @@
 // answers.
 func (e *Engine) recordProgress(now time.Duration, s *server, elapsed time.Duration) {
 	s.health.lastProgress, s.health.retransmissions, s.health.settledAnswers = now, 0, 0
+	s.Unconfirmed = false
 	if s.health.state == suspected || s.health.reported {
 		e.setState(s, trusted)
 	}
@@ -196,7 +197,11 @@
 	}
 	h := &s.health
 	h.probing = false
-	switch r.Outcome {
+	outcome := r.Outcome
+	if s.Unconfirmed && outcome == NoValidAnswer {
+		outcome = ConnectTimeout // another server may have the address
+	}
+	switch outcome {
 	case Answered, NoValidAnswer:
 		// A server that accepts connections but answers slowly may just be busy.
 		if !h.replaced {
@@ -227,6 +232,7 @@
 func (e *Engine) trustAfterAnswer(now time.Duration, s *server) {
 	h := &s.health
 	e.setState(s, trusted)
+	s.Unconfirmed = false
 	h.unansweredProbes, h.inconclusive, h.nextSuspect = 0, false, now+suspectRetryInterval
 	if now-h.answeredAt > suspectBackoffReset {
 		h.answeredProbes = 0
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -29,6 +29,9 @@
 	ColdLeft  time.Duration // remaining time for which the server is slow after its start
 	StartedAt int64         // start time of the process as reported by the server; 0 if unknown
 	Revision  uint64        // position of the record in the order of all changes
+	// Unconfirmed marks a record that was removed and is back without a sign of life of the server.
+	// The server gets new flows only after it has answered.
+	Unconfirmed bool
 }
 
 type service struct {
@@ -73,7 +76,7 @@
 
 // usable reports whether new flows may go to the server.
 func (s *server) usable() bool {
-	return s.listed && !s.Draining && !s.shadowed && s.health.state == trusted
+	return s.listed && !s.Unconfirmed && !s.Draining && !s.shadowed && s.health.state == trusted
 }
 
 // usableAfterRemoval reports whether the server may get new flows although its record
@@ -85,7 +88,7 @@
 // usableAsLastResort reports whether the server may get new flows although it looks
 // unreachable: the instance's own link may be saturated.
 func (s *server) usableAsLastResort(time.Duration) bool {
-	return s.listed && !s.Draining && !s.shadowed && s.health.state <= unreachable && s.health.unansweredProbes < lastResortUnansweredProbes
+	return s.listed && !s.Unconfirmed && !s.Draining && !s.shadowed && s.health.state <= unreachable && s.health.unansweredProbes < lastResortUnansweredProbes
 }
 
 func (e *Engine) service(name string) *service {
@@ -118,7 +121,11 @@
 		e.setState(s, trusted)
 		s.health = serverHealth{}
 	}
-	return e.updateConflicts(now, s)
+	actions := e.updateConflicts(now, s)
+	if s.Unconfirmed {
+		actions = append(actions, e.suspect(now, s)...)
+	}
+	return actions
 }
 
 // RemoveServer applies the removal of a record. in holds the record's last value and the
@@ -186,7 +193,7 @@
 // supersedes reports whether s has taken over the address of o: an address is assigned to
 // another server only after the earlier server has ended.
 func (s *server) supersedes(o *server) bool {
-	return s != o && s.Address == o.Address && s.listed && (!o.listed || o.Revision < s.Revision)
+	return s != o && s.Address == o.Address && s.listed && !s.Unconfirmed && (!o.listed || o.Unconfirmed || o.Revision < s.Revision)
 }
 
 // updateConflicts recomputes which of the servers that share the server's cookie or address
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -125,6 +125,9 @@
 		return nil
 	case h.reported:
 		e.setState(s, trusted)
+		if s.Unconfirmed {
+			return e.suspect(now, s)
+		}
 		return nil
 	case h.state >= unreachable && s.flows == 0 && !e.settles(s):
 		e.relyOnReports(now, s)
--- a/internal/forwarder/restored_test.go
+++ b/internal/forwarder/restored_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/internal/standin/metastore"
+	"github.com/monsoonthread/monsoonthread/platform/wire"
 )
 
 // restore brings the store back from the copy after a short outage.
@@ -36,3 +37,58 @@
 		t.Errorf("the new instance is ready with version %d", c.version())
 	}
 }
+
+// openFlows opens flows through the instances and returns how many the server got.
+func (d *deployment) openFlows(server string, via ...*instance) int {
+	before := d.servers[server].Counters().Opened
+	for range 20 {
+		for _, i := range via {
+			d.openFlow(i)
+		}
+	}
+	return d.servers[server].Counters().Opened - before
+}
+
+// Guards against new flows at a server that had left and is listed again by the older copy, also
+// at an instance that starts afterwards.
+func TestServerThatLeftStaysAwayAfterARestore(t *testing.T) {
+	d, a, b := startPair(t)
+	d.startServer("i-2", "orders", "laval", 2)
+	for _, i := range []*instance{a, b} {
+		d.eventually("second server known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+"i-2", "ready") })
+	}
+	older := d.store.Copy()
+	d.store.Remove(wire.ServerPrefix + "i-2")
+	for _, i := range []*instance{a, b} {
+		d.eventually("removal known", configurationBound, func() bool { return !i.hasRecord(wire.ServerPrefix+"i-2", "") })
+	}
+	d.servers["i-2"].StopAnswering()
+	d.restore(older)
+	for _, i := range []*instance{a, b} {
+		d.eventually("record back", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+"i-2", "") })
+	}
+	c := d.startInstance("c", "laval", 3, "127.0.2.1:1")
+	d.eventually("new instance ready", testTimeout, func() bool { return d.ready(c) })
+	if got := d.openFlows("i-2", a, b, c); got != 0 {
+		t.Errorf("%d new flows at the server that had left", got)
+	}
+}
+
+// Guards against new flows at a draining server whose older copy says that it is ready, until the
+// server writes again.
+func TestDrainingServerStaysDrainingAfterARestore(t *testing.T) {
+	d, a, b := startPair(t)
+	d.startServer("i-2", "orders", "laval", 2)
+	older := d.store.Copy()
+	d.store.Put(wire.ServerPrefix+"i-2", d.servers["i-2"].Record("draining"))
+	for _, i := range []*instance{a, b} {
+		d.eventually("drain known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+"i-2", "draining") })
+	}
+	d.restore(older)
+	for _, i := range []*instance{a, b} {
+		d.eventually("restore noticed", configurationBound, func() bool { return i.statusView().Era == 2 })
+	}
+	if got := d.openFlows("i-2", a, b); got != 0 {
+		t.Errorf("%d new flows at the draining server", got)
+	}
+}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -405,6 +405,7 @@
 		f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
 		return
 	}
+	s.Unconfirmed = r.Unconfirmed
 	put := f.engine.PutServer
 	if r.Removed {
 		put = f.engine.RemoveServer
@@ -417,7 +418,7 @@
 		return // a line for each of hundreds of servers would delay the start by 70 ms
 	}
 	f.events.newEvent(zerolog.InfoLevel).Str(logging.Server, s.Name).Str(logging.Service, s.Service).Str(logging.Domain, s.Domain).Stringer(logging.Address, s.Address).
-		Bool("draining", s.Draining).Bool("removed", r.Removed).Dur("cold_left", s.ColdLeft).Int64("born", s.StartedAt).Stringer(logging.Revision, r.Revision).Msg("server")
+		Bool("draining", s.Draining).Bool("removed", r.Removed).Bool("unconfirmed", s.Unconfirmed).Dur("cold_left", s.ColdLeft).Int64("born", s.StartedAt).Stringer(logging.Revision, r.Revision).Msg("server")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	address    netip.AddrPort
 	clientPort uint16
 
+	recordSequence atomic.Uint64 // number of records written
+
 	mu       sync.Mutex
 	flows    map[netip.AddrPort]*serverFlow
 	counters Counters
@@ -81,6 +84,9 @@
 	s.health.Close()
 }
 
+// StopAnswering makes the server look ended to probes, while it still counts packets.
+func (s *Server) StopAnswering() { s.health.Close() }
+
 // Counters returns the packet counters.
 func (s *Server) Counters() Counters {
 	s.mu.Lock()
@@ -91,7 +97,7 @@
 // Record returns the server's record for the platform's metadata store.
 func (s *Server) Record(state string) []byte {
 	b, _ := json.Marshal(map[string]any{"service": s.Service, "address": s.address.String(), "zone": s.Domain, "version": "v1",
-		"slots": 2, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1})
+		"slots": 2, "state": state, "coldLeftMs": 0, "sequence": s.recordSequence.Add(1), "born": 1})
 	return b
 }
 
