Wait before repeating a watch that the store refused again

Calls are priced and count against the rates of all.

Cause: 410 counted as an answer that needs no pause, since a listing was taken to help always.

Change: from the second refusal without an accepted watch in between, the pause grows from 250 ms to 1 s. The first refusal still leads to a listing at once.

--- a/internal/forwarder/restored_test.go
+++ b/internal/forwarder/restored_test.go
@@ -92,3 +92,23 @@
 		t.Errorf("%d new flows at the draining server", got)
 	}
 }
+
+// Guards against listings and watches that alternate without a pause while the store refuses all
+// watches. Each refused watch takes two calls, at intervals that grow to maxRetryDelay.
+func TestRefusedWatchesAreNotRepeatedAtOnce(t *testing.T) {
+	const observed = 3 * time.Second
+	d := newDeployment(t)
+	d.startServer("i-1", "orders", "laval", 1)
+	a := d.startInstance("a", "laval", 1)
+	d.eventually("ready", testTimeout, func() bool { return d.ready(a) })
+	d.store.SetFault(metastore.HistoryLost)
+	before, _ := a.store.Calls()
+	time.Sleep(observed)
+	after, _ := a.store.Calls()
+	if limit := uint64(2*observed/maxRetryDelay + 2*4); after-before > limit {
+		t.Errorf("%d calls in %v, want at most %d", after-before, observed, limit)
+	}
+	d.store.SetFault(metastore.NoFault)
+	d.configure("orders")
+	d.eventually("version 2", configurationBound, func() bool { return a.version() == 2 })
+}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -24,6 +24,8 @@
 	// ConfigurationBound and DrainBound.
 	minRetryDelay = 250 * time.Millisecond
 	maxRetryDelay = time.Second
+	// maxRetryDoublings is enough to get from minRetryDelay to maxRetryDelay.
+	maxRetryDoublings = 2
 	// pollInterval is the time between checks of a condition, for example whether this instance
 	// must watch the store.
 	pollInterval = 50 * time.Millisecond
@@ -80,6 +82,7 @@
 	f.loadInitialRecords(ctx)
 	f.finishInitialSync()
 	listed := f.hasRecords()
+	refused := 0 // consecutive watches that the store refused because it lacks the history
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		watch := f.mesh.UpdateWatch(f.now())
@@ -92,10 +95,19 @@
 		if listed {
 			err = f.watchOnce(ctx, f.timing.watchWait, f.timing.batchDelay)
 			listed = result.CodeOf(err) != result.StoreHistoryGone
+			if err == nil {
+				refused = 0
+			}
 		} else if err = f.list(ctx, false); err == nil {
 			listed = true
 		}
 		f.recordStoreCall(ctx, err)
+		if result.CodeOf(err) == result.StoreHistoryGone {
+			if refused > 0 { // the listing after the last one did not help
+				sleep(ctx, min(minRetryDelay<<min(refused-1, maxRetryDoublings), maxRetryDelay))
+			}
+			refused++
+		}
 	}
 }
 
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -28,6 +28,7 @@
 	RateLimited        // responds 429 without executing the call
 	NoResponse         // sends no response until the client disconnects
 	LostResponse       // executes writes but sends no response to them
+	HistoryLost        // responds 410 to every watch
 )
 
 type item struct {
@@ -229,6 +230,8 @@
 			w.WriteHeader(http.StatusTooManyRequests)
 		case fault == NoResponse:
 			waitForDisconnect(r)
+		case fault == HistoryLost && strings.HasSuffix(r.URL.Path, "/kv-watch"):
+			w.WriteHeader(http.StatusGone)
 		case fault == LostResponse && r.Method != http.MethodGet:
 			h(discardWriter{http.Header{}}, r)
 			waitForDisconnect(r)
