Soak: the store comes back from an older copy

The soak had no fault that takes acknowledged writes back. The new one restores a copy up to 4 s old after up to 1.5 s of outage; the operator and the servers write again within 2 s, and records of ended servers lapse. The existing checks (version never back and in force in time, no new flow at a drained server, no reset while the server lives) apply.

--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -89,6 +89,7 @@
 	violations     []string
 	faultCounts    map[string]int
 	version        int
+	configuration  []byte               // of that version
 	acceptedAt     time.Time            // when version was accepted
 	faultEnds      map[string]time.Time // end of the active fault by key, see endFault
 	lastStoreFault time.Time            // last start or end of a store fault
@@ -175,8 +176,9 @@
 		return fmt.Sprintf(`{"name":"r%s","host":%q,"prefix":"/%d/","kind":"idempotent","service":%q}`, a, a.Addr(), a.Port(), service)
 	}
 	routes := []string{route(ordersAddr, "orders"), route(catalogueAddr, "catalogue"), route(netip.AddrPortFrom(ordersAddr.Addr(), uint16(10000+d.version)), "orders")}
-	d.store.Put(wire.ConfigurationKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"orders","healthPath":"/health"},{"name":"catalogue","healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}}`,
-		d.version, strings.Join(routes, ","))))
+	d.configuration = []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"orders","healthPath":"/health"},{"name":"catalogue","healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}}`,
+		d.version, strings.Join(routes, ",")))
+	d.store.Put(wire.ConfigurationKey, d.configuration)
 	d.acceptedAt = time.Now()
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -35,6 +35,7 @@
 		d.endFault("store link "+in.name, d.randomDuration(3000), func() { in.storeLink.stalled.Store(false); in.markFault() })
 	}},
 	{"store connections reset", func(_ *deployment, in *instance) { in.markFault(); in.storeLink.reset() }},
+	{"store restored", func(d *deployment, _ *instance) { d.restoreStore() }},
 	{"history dropped", func(d *deployment, _ *instance) { d.store.DropHistory() }},
 	{"configuration", func(d *deployment, _ *instance) { d.acceptNextVersion() }},
 	{"server drained", func(d *deployment, _ *instance) { d.drainRandomServer() }},
@@ -135,6 +136,39 @@
 	d.endFault("store", duration, func() { apply(metastore.NoFault) })
 }
 
+// restoreStore brings the store back from a copy that is some seconds old, after a short outage. The
+// operator and the servers then write again what was lost, and the records of servers that have
+// ended lapse.
+func (d *deployment) restoreStore() {
+	older := d.store.Copy()
+	outage, writeAgain := d.randomDuration(1500), d.randomDuration(2000)
+	time.AfterFunc(d.randomDuration(4000), func() {
+		d.setStoreFault(metastore.Unavailable, outage)
+		d.store.Restore(older)
+		time.AfterFunc(outage+writeAgain, d.writeAgain)
+	})
+}
+
+func (d *deployment) writeAgain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastStoreFault = time.Now()
+	d.store.Put(wire.ConfigurationKey, d.configuration)
+	for _, s := range d.servers {
+		s.mu.Lock()
+		key, state := wire.ServerPrefix+s.ID, "ready"
+		if !s.drainedAt.IsZero() {
+			state = "draining"
+		}
+		if s.stoppedAt.IsZero() {
+			d.store.Put(key, s.Record(state))
+		} else {
+			time.AfterFunc(2*time.Second, func() { d.store.Remove(key) })
+		}
+		s.mu.Unlock()
+	}
+}
+
 // pickServer chooses a random server that is neither draining nor stopped. It returns nil
 // if the chosen server is the only one left of its service.
 func (d *deployment) pickServer() *server {
