Use a lease only in the era in which the store granted it

An instance wrote its directory entry under the lease of another holder, and would have renewed that lease: after a restore, the store had given the same ID out again.

Cause: a lease was identified by its ID alone, like positions by their revision.

Change: the lease carries the era of its grant; when the store names another era, the registrar takes a new one.

Result: TestLeaseOfAnEarlierEraIsNotUsed failed before ("registered under lease 4, which another holder has") and passes.

--- a/internal/forwarder/registration.go
+++ b/internal/forwarder/registration.go
@@ -63,7 +63,7 @@
 // registrar writes entries of the instance directory under a lease of this instance.
 type registrar struct {
 	f                 *Forwarder
-	lease             uint64 // 0 for none
+	lease             kv.Lease // zero for none
 	renewedAt         time.Duration
 	unregisteredSince time.Duration // since when this instance's own entry is missing; -1 if it is not
 	watchingSince     time.Duration // since when this instance watches the store; -1 if it does not
@@ -71,10 +71,13 @@
 
 func (r *registrar) update(ctx context.Context) error {
 	now := r.f.now()
-	if r.lease != 0 && now-r.renewedAt >= leaseRenewInterval {
-		err := r.f.store.Renew(ctx, r.lease)
+	if r.lease.Era != r.f.store.Era() {
+		r.lease = kv.Lease{} // its ID may be another holder's by now
+	}
+	if r.lease.ID != 0 && now-r.renewedAt >= leaseRenewInterval {
+		err := r.f.store.Renew(ctx, r.lease.ID)
 		if result.CodeOf(err) == result.StoreNotFound {
-			r.lease = 0 // its entries are gone; they are written again below
+			r.lease = kv.Lease{} // its entries are gone; they are written again below
 		} else if err != nil {
 			return err
 		}
@@ -122,7 +125,7 @@
 
 // write registers the instances under the lease, which it grants first if there is none.
 func (r *registrar) write(ctx context.Context, now time.Duration, peers []mesh.Peer) error {
-	hadLease := r.lease != 0
+	hadLease := r.lease.ID != 0
 	if !hadLease {
 		lease, err := r.f.store.Grant(ctx, registrationLeaseTTL)
 		if err != nil {
@@ -136,13 +139,13 @@
 		if err != nil {
 			return err
 		}
-		items = append(items, kv.Item{Key: instancePrefix + p.ID, Value: value, Lease: r.lease})
+		items = append(items, kv.Item{Key: instancePrefix + p.ID, Value: value, Lease: r.lease.ID})
 	}
 	err := r.f.store.Write(ctx, items, nil)
 	if result.CodeOf(err) != result.StoreNotFound {
 		return err
 	}
-	r.lease = 0 // it has ended
+	r.lease = kv.Lease{} // it has ended
 	if hadLease {
 		return r.write(ctx, now, peers)
 	}
--- a/internal/forwarder/restored_test.go
+++ b/internal/forwarder/restored_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/internal/standin/metastore"
+	"github.com/monsoonthread/monsoonthread/platform/kv"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 )
 
@@ -112,3 +113,28 @@
 	d.configure("orders")
 	d.eventually("version 2", configurationBound, func() bool { return a.version() == 2 })
 }
+
+// Guards against an entry that is written under the lease of another holder, to which the restored
+// store gave the same ID.
+func TestLeaseOfAnEarlierEraIsNotUsed(t *testing.T) {
+	d := newDeployment(t)
+	d.startServer("i-1", "orders", "laval", 1)
+	older := d.store.Copy()
+	d.startInstance("a", "laval", 1)
+	key := instancePrefix + "a"
+	d.eventually("registered", testTimeout, func() bool { return d.store.Lease(key) != 0 })
+	lost := d.store.Lease(key)
+	d.store.Restore(older)
+	other := kv.New(d.storeAddr, time.Second)
+	for granted := uint64(0); granted < lost; {
+		lease, err := other.Grant(t.Context(), time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		granted = lease.ID
+	}
+	d.eventually("registered again", testTimeout, func() bool { return d.store.Lease(key) != 0 })
+	if got := d.store.Lease(key); got == lost {
+		t.Errorf("registered under lease %d, which another holder has", got)
+	}
+}
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -141,6 +141,13 @@
 	s.expireLeases()
 }
 
+// Lease returns the ID of the lease of a key; 0 if there is none.
+func (s *Store) Lease(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Lease
+}
+
 // Keys returns the keys with a prefix in sorted order.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
