Write the accepted configuration again when the key-value service lost it

In the product's own data path, a restored key-value service lost accepted versions for good: instances kept them in force, but the store had an older head, instances that started got that one if no peer answered, and the next accepts got version numbers that were in force already, so that a confirmed change was ignored. A watch could also wait for a revision that had been given out again.

Change: a watcher keeps the last head that the store delivered. When the store has an older head of that accept history, or none, it writes the service values and its head again by compare-and-swap; a head that it does not know stays. Ruled out: raising the version at the instances without the store, which would give two contents one version.

Open: an accept between the restore and the rewriting is not in force until its version passes the one in force; it is reported, not overwritten.

--- a/config/follower.go
+++ b/config/follower.go
@@ -279,6 +279,11 @@
 		f.startCall(ctx, a.Call, func(ctx context.Context) { f.watchHead(ctx, a) })
 	case LoadHead:
 		f.startCall(ctx, a.Call, func(ctx context.Context) { f.loadHead(ctx, a) })
+	case RestoreHead:
+		f.startCall(ctx, a.Call, func(ctx context.Context) {
+			err := Restore(ctx, f.cfg.Store, f.cfg.Current.Get(), a.Head, a.Revision)
+			f.updateWatcher(func(w *Watcher) []WatchAction { return w.RestoreResult(time.Now(), a.Call, err) })
+		})
 	case FetchPeer:
 		f.startCall(ctx, a.Call, func(ctx context.Context) { f.fetchPeer(ctx, a) })
 	case CancelCall:
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -55,7 +55,7 @@
 }
 
 // WatchAction is an action that the caller of a Watcher performs: WatchHead, LoadHead,
-// FetchPeer, CancelCall or WatchEvent.
+// RestoreHead, FetchPeer, CancelCall or WatchEvent.
 type WatchAction interface{ watchAction() }
 
 // WatchHead requests a Store.Watch of the head, followed by Watcher.HeadResult.
@@ -70,6 +70,14 @@
 	Head *Head
 }
 
+// RestoreHead requests Restore, followed by Watcher.RestoreResult: the store came back from a copy
+// that is older than the version in force.
+type RestoreHead struct {
+	Call     uint64
+	Head     *Head  // of the version in force
+	Revision uint64 // of the store's older head; 0 if it has none
+}
+
 // FetchPeer requests a FetchConfig call to a peer with the version in force as
 // known_version (0 if Full is set) and Current.ApplyEncoded, followed by
 // Watcher.PeerResult.
@@ -89,16 +97,18 @@
 	Err     error
 }
 
-func (WatchHead) watchAction()  {}
-func (LoadHead) watchAction()   {}
-func (FetchPeer) watchAction()  {}
-func (CancelCall) watchAction() {}
-func (WatchEvent) watchAction() {}
+func (WatchHead) watchAction()   {}
+func (LoadHead) watchAction()    {}
+func (RestoreHead) watchAction() {}
+func (FetchPeer) watchAction()   {}
+func (CancelCall) watchAction()  {}
+func (WatchEvent) watchAction()  {}
 
 // Names of events.
 const (
 	EventStoreFailed   = "config_store_failed"
 	EventStoreBehind   = "config_store_behind"
+	EventStoreRestored = "config_store_restored"
 	EventLoadFailed    = "config_load_failed"
 	EventPeerFailed    = "config_peer_failed"
 	EventCallAbandoned = "config_call_abandoned"
@@ -117,7 +127,9 @@
 	version uint64 // in force here
 
 	watching        bool
-	revision        uint64 // of the head whose version is in force
+	revision        uint64 // of the head whose version is in force; 0 if the store may have lost it
+	lastHead        *Head  // with the highest version that the store delivered
+	restoring       bool   // storeCall is a RestoreHead
 	storeCall       callState
 	loadingHead     *Head // head that is being loaded
 	loadingRevision uint64
@@ -163,7 +175,7 @@
 // SetWatching sets whether this instance is one of the instances of its failure domain
 // that watch the head.
 func (w *Watcher) SetWatching(now time.Time, on bool) []WatchAction {
-	if w.watching && !on && w.storeCall.id != 0 && w.loadingHead == nil {
+	if w.watching && !on && w.storeCall.id != 0 && w.loadingHead == nil && !w.restoring {
 		w.actions = append(w.actions, CancelCall{w.storeCall.id})
 		w.storeCall.id = 0
 	}
@@ -192,12 +204,21 @@
 
 // HeadResult records the result of WatchHead. The head is nil if nothing changed.
 func (w *Watcher) HeadResult(now time.Time, call uint64, head *Head, revision uint64, err error) []WatchAction {
-	if call != w.storeCall.id || w.loadingHead != nil {
+	if call != w.storeCall.id || w.loadingHead != nil || w.restoring {
 		return nil
 	}
 	w.storeCall.id = 0
+	if head != nil && (w.lastHead == nil || head.Version >= w.lastHead.Version) {
+		w.lastHead = head
+	}
 	switch {
+	case result.CodeOf(err) == result.StoreNotFound && w.watching && w.holdsLastHead():
+		w.restoreHead(now, 0)
+		return w.step(now)
 	case err != nil:
+		// The store may come back from an older copy and give revisions out again, so the next
+		// watch returns the head in any case.
+		w.revision = 0
 		w.scheduleRetry(now, &w.storeCall)
 		w.addEvent(EventStoreFailed, w.version, err)
 	case head == nil:
@@ -213,6 +234,10 @@
 		if head.Version < w.version {
 			w.addEvent(EventStoreBehind, head.Version,
 				result.Errorf(result.ConfigStale, "store has version %d, version %d is in force", head.Version, w.version))
+			if _, older := w.knownAccept(head.AcceptID); older && w.watching && w.holdsLastHead() {
+				w.restoreHead(now, revision)
+				return w.step(now)
+			}
 		}
 		if len(w.announcers) == 0 { // no peer announces a higher version any more
 			w.behindSince = time.Time{}
@@ -222,6 +247,44 @@
 	return w.step(now)
 }
 
+// holdsLastHead reports whether the version in force is that of the last head, so that this instance
+// can write both again.
+func (w *Watcher) holdsLastHead() bool {
+	return w.lastHead != nil && w.lastHead.Version == w.version
+}
+
+// knownAccept returns the record of an accept that led to the last head. A store that has the
+// head of another accept was changed after it came back, and must not be overwritten.
+func (w *Watcher) knownAccept(id string) (AcceptRecord, bool) {
+	if w.lastHead == nil {
+		return AcceptRecord{}, false
+	}
+	return w.lastHead.findAccept(id)
+}
+
+func (w *Watcher) restoreHead(now time.Time, revision uint64) {
+	w.restoring = true
+	w.beginCall(now, &w.storeCall, w.cfg.LoadTimeout)
+	w.actions = append(w.actions, RestoreHead{w.storeCall.id, w.lastHead, revision})
+}
+
+// RestoreResult records the outcome of RestoreHead. The head is read again in any case: another
+// instance may have written it first.
+func (w *Watcher) RestoreResult(now time.Time, call uint64, err error) []WatchAction {
+	if call != w.storeCall.id || !w.restoring {
+		return w.step(now)
+	}
+	w.storeCall.id, w.restoring, w.revision = 0, false, 0
+	if err != nil && result.CodeOf(err) != result.StoreConflict {
+		w.scheduleRetry(now, &w.storeCall)
+		w.addEvent(EventStoreFailed, w.version, err)
+	} else if err == nil {
+		w.storeCall.failures = 0
+		w.addEvent(EventStoreRestored, w.version, nil)
+	}
+	return w.step(now)
+}
+
 // LoadResult records the outcome of LoadHead and the version now in force.
 func (w *Watcher) LoadResult(now time.Time, call uint64, version uint64, err error) []WatchAction {
 	if call != w.storeCall.id || w.loadingHead == nil {
@@ -341,7 +404,7 @@
 	w.addEvent(EventCallAbandoned, w.version, nil)
 	c.id = 0
 	if c == &w.storeCall {
-		w.loadingHead = nil
+		w.loadingHead, w.restoring, w.revision = nil, false, 0
 	}
 	w.scheduleRetry(now, c)
 }
--- a/internal/standin/kvservice/control.go
+++ b/internal/standin/kvservice/control.go
@@ -11,6 +11,8 @@
 //	GET      /healthz            returns 200, also in an outage
 //	GET      /control/counters   Counters
 //	GET, PUT /control/faults     Faults
+//	PUT      /control/copy       keeps a copy of the contents
+//	PUT      /control/restore    restores the last copy
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv/{key...}", s.get)
@@ -18,6 +20,8 @@
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) })
 	mux.HandleFunc("GET /control/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
+	mux.HandleFunc("PUT /control/copy", func(http.ResponseWriter, *http.Request) { s.Copy() })
+	mux.HandleFunc("PUT /control/restore", func(http.ResponseWriter, *http.Request) { s.Restore() })
 	mux.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/internal/standin/kvservice/kvservice.go
+++ b/internal/standin/kvservice/kvservice.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -74,6 +75,8 @@
 	rng          *rand.Rand
 	entries      map[string]entry
 	revision     uint64
+	era          uint64 // number of restores, from 1
+	older        *storeCopy
 	changed      chan struct{} // closed and replaced at each change
 	faults       Faults
 	readLimiter  *rate.Limiter
@@ -84,12 +87,46 @@
 // New returns an empty store. now is the clock for leases and rate limits.
 func New(seed uint64, now func() time.Time) *Service {
 	return &Service{
-		now: now, rng: rand.New(rand.NewPCG(seed, 0)), entries: map[string]entry{},
+		now: now, rng: rand.New(rand.NewPCG(seed, 0)), entries: map[string]entry{}, era: 1,
 		changed: make(chan struct{}), readLimiter: newLimiter(0), writeLimiter: newLimiter(0),
 		counters: Counters{ByDomain: map[string]uint64{}},
 	}
 }
 
+// storeCopy is the contents of a store at one moment.
+type storeCopy struct {
+	entries  map[string]entry
+	revision uint64
+}
+
+// Copy keeps a copy of the contents for Restore.
+func (s *Service) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.older = &storeCopy{maps.Clone(s.entries), s.revision}
+}
+
+// Restore replaces the contents by those of the last copy and begins a new era. Revisions since
+// the copy are given out again. Without a copy, it does nothing.
+func (s *Service) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.older == nil {
+		return
+	}
+	s.entries, s.revision = maps.Clone(s.older.entries), s.older.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// nameEra sets the response header with the era.
+func (s *Service) nameEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func newLimiter(perSecond float64) *rate.Limiter {
 	if perSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
@@ -163,6 +200,7 @@
 	s.mu.Unlock()
 
 	sleep(r, delay)
+	s.nameEra(w)
 	switch {
 	case outage:
 		http.Error(w, "service is down", http.StatusServiceUnavailable)
@@ -258,8 +296,9 @@
 	for {
 		s.mu.Lock()
 		e, ok := s.lookup(key)
-		changed, faults := s.changed, s.faults
+		changed, faults, revision := s.changed, s.faults, s.revision
 		s.mu.Unlock()
+		s.nameEra(w)
 		if slices.Contains(faults.CutDomains, r.Header.Get(DomainHeader)) {
 			holdUntilDisconnect(r)
 			panic(http.ErrAbortHandler)
@@ -268,6 +307,10 @@
 			http.Error(w, "service is down", http.StatusServiceUnavailable)
 			return
 		}
+		if after > revision {
+			http.Error(w, "no such revision", http.StatusGone)
+			return
+		}
 		if ok && e.revision > after {
 			s.writeEntry(w, e, true)
 			return
--- a/test/lab/cluster/faults.go
+++ b/test/lab/cluster/faults.go
@@ -125,6 +125,16 @@
 	return c.StoreControl.Do(ctx, "PUT", "/control/faults", f, nil)
 }
 
+// CopyStore keeps a copy of the key-value service's contents for RestoreStore.
+func (c *Cluster) CopyStore(ctx context.Context) error {
+	return c.StoreControl.Do(ctx, "PUT", "/control/copy", nil, nil)
+}
+
+// RestoreStore brings the key-value service back from the last copy.
+func (c *Cluster) RestoreStore(ctx context.Context) error {
+	return c.StoreControl.Do(ctx, "PUT", "/control/restore", nil, nil)
+}
+
 // SetListFaults sets the injected faults of the instance list. If LagMS is zero, the
 // configured ListLag stays.
 func (c *Cluster) SetListFaults(ctx context.Context, f instancelist.Faults) error {
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -133,7 +133,7 @@
 
 // Guards against an accepted configuration that is lost, late or reverted. This can
 // happen when two operators accept concurrently, the store's response is lost, the store
-// is down while an instance restarts, or a network partition heals.
+// is down while an instance restarts, comes back from an older copy, or a network partition heals.
 func TestConfigurationInForce(t *testing.T) {
 	d := start(t, 601, nil)
 	v := d.monitorVersions()
@@ -142,6 +142,7 @@
 	}
 	runSubtest("two operators", testConcurrentAccepts)
 	runSubtest("answer lost after the write", testLostStoreResponses)
+	runSubtest("store restored from an older copy", testRestoredStore)
 	runSubtest("store down while an instance restarts", testStoreOutage)
 	runSubtest("partition heals", testPartitionHeals)
 	v.stop()
@@ -240,6 +241,43 @@
 	d.expectAllDone(c)
 }
 
+// testRestoredStore loses two accepted versions in the store and accepts another one.
+func testRestoredStore(d *deployment) {
+	d.requireNoError(d.CopyStore(d.ctx))
+	var accepted uint64
+	for _, name := range []string{"lost-1", "lost-2"} {
+		begin := time.Now()
+		version, err := d.acceptProposal(d.generateProposal(name))
+		d.requireNoError(err)
+		d.waitForVersion(version, begin, allDomains)
+		accepted = version
+	}
+	d.requireNoError(d.SetStoreFaults(d.ctx, kvservice.Faults{Outage: true}))
+	d.sleep(time.Second)
+	d.requireNoError(d.RestoreStore(d.ctx))
+	d.requireNoError(d.SetStoreFaults(d.ctx, kvservice.Faults{}))
+	restored := time.Now()
+	store := platform.NewStore(platform.StoreConfig{URL: d.StoreControl.URL})
+	for {
+		stored, err := config.Load(d.ctx, store)
+		if err == nil && stored.Version == accepted {
+			break
+		}
+		if time.Since(restored) > maxActivationDelay {
+			d.Fatalf("the store does not have accepted version %d %v after it was restored: %v", accepted, maxActivationDelay, err)
+		}
+		d.sleep(versionPollInterval)
+	}
+	path := d.generateProposal("after-restore")
+	begin := time.Now()
+	version, err := d.acceptProposal(path)
+	d.requireNoError(err)
+	if version != accepted+1 {
+		d.Errorf("version %d was accepted after the restore, want %d", version, accepted+1)
+	}
+	d.waitForVersion(version, begin, allDomains)
+}
+
 func testPartitionHeals(d *deployment) {
 	path := d.generateProposal("partition")
 	d.requireNoError(d.Partition(d.ctx, "levis"))
