Report an accept as unresolved if the store lost it after the write

An operator who retried an accept whose answer was lost was told that it had not taken effect (402), although it was in force: the store had come back from an older copy, and the head without the accept counted as proof.

Cause: a head at or below the base version was taken for one that records all accepts since. That holds only as long as the store never goes back.

Change: a head older than the base, and one at the base after a failed swap, leave an accept in doubt unresolved (407). The retry with the same accept ID resolves it once the watchers have written the version again.

--- a/config/accept.go
+++ b/config/accept.go
@@ -297,7 +297,8 @@
 			if r, ok := head.findAccept(c.acceptID); ok {
 				return c.outcomeFromRecord(r)
 			}
-			if (inDoubt || c.Resume) && !head.recordsAllSince(c.base) {
+			// The swap failed, so the head has changed; with the version of the base, it lost an accept.
+			if (inDoubt || c.Resume) && (head.Version == c.base || !head.recordsAllSince(c.base)) {
 				return 0, c.historyExpiredError(head)
 			}
 			return 0, c.conflictError(ctx, head)
--- a/config/head.go
+++ b/config/head.go
@@ -108,9 +108,10 @@
 	return AcceptRecord{}, false
 }
 
-// recordsAllSince reports whether Recent contains every accept after version after.
+// recordsAllSince reports whether Recent contains every accept after version after. A head that is
+// older than that version comes from a store that has lost accepts.
 func (h *Head) recordsAllSince(after uint64) bool {
-	return h.Version <= after || len(h.Recent) > 0 && h.Recent[0].Version <= after+1
+	return h.Version == after || h.Version > after && len(h.Recent) > 0 && h.Recent[0].Version <= after+1
 }
 
 func validDigest(d string) bool {
--- a/config/restore_test.go
+++ b/config/restore_test.go
@@ -94,3 +94,54 @@
 		t.Errorf("the watch after an outage is after revision %d, want 0", again.After)
 	}
 }
+
+// Guards against an operator who is told that an accept did not take effect, although it is in force
+// and only the store lost it.
+func TestAcceptInDoubtIsNotDeniedAfterARestore(t *testing.T) {
+	for _, base := range []uint64{2, 3} {
+		s := newFakeStore()
+		acceptVersions(t, s, 1)
+		older := maps.Clone(s.values)
+		acceptVersions(t, s, 4)
+		s.values = older
+		resumed := Acceptor{Store: s, Resume: true, Sleep: noSleep}
+		if _, err := resumed.Accept(t.Context(), testConfig(2, 2, uint32(100+base)), base, fmt.Sprint("a", base+1)); result.CodeOf(err) != result.AcceptUnresolved {
+			t.Errorf("retry of accept a%d: %v, want code %d", base+1, err, result.AcceptUnresolved)
+		}
+	}
+}
+
+// Guards against the same answer when the store is restored while the outcome of the write of the
+// head is unknown.
+func TestAcceptIsUnresolvedIfTheStoreIsRestoredMeanwhile(t *testing.T) {
+	s := newFakeStore()
+	acceptVersions(t, s, 1)
+	older := maps.Clone(s.values)
+	acceptVersions(t, s, 2)
+	restored := false
+	s.nextOutcome = func() callOutcome {
+		if len(s.heads) == 3 && !restored { // version 3 is written; its answer is lost
+			restored = true
+			s.values = older
+		}
+		if restored {
+			return applied
+		}
+		return responseLost
+	}
+	// Reads of the head fail while answers are lost, so the accept starts from a known head.
+	_, head, err := NewLoader(&fakeStore{values: maps.Clone(s.values)}, LoaderConfig{}).Load(t.Context(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	proposal := testConfig(2, 2, 300)
+	proposal.Version = 3
+	c := &acceptCall{Acceptor: &Acceptor{Store: s, Sleep: noSleep}, proposal: proposal, base: 2, acceptID: "lost", contentDigest: contentDigest(proposal), digestsByName: head.Services}
+	value, err := EncodeHead(c.nextHead(head))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.swapHead(t.Context(), value, s.values[HeadKey].revision); result.CodeOf(err) != result.AcceptUnresolved {
+		t.Errorf("accept: %v, want code %d", err, result.AcceptUnresolved)
+	}
+}
--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -51,7 +51,7 @@
 		}
 		return len(s.Members) == 1 && s.Members[0].Alive && watchers == 1 && s.Flows == 1
 	})
-	if s.State != stateReady || s.Version != 1 || s.RecordsAge == nil || s.Revision == 0 {
+	if s.State != stateReady || s.Version != 1 || s.RecordsAge == nil || s.Era != 1 || s.Revision == 0 {
 		t.Errorf("status %+v", s)
 	}
 	if len(s.Servers) != 1 || s.Servers[0].Name != "servers/i-00000001" || s.Servers[0].State != "trusted" || !s.Servers[0].GetsNewFlows ||
