Refuse an accept while the store is behind the version in force

An accept right after the key-value service came back from an older copy got a version number that was in force already and was confirmed, but ignored by all instances.

Cause: monsoonctl compared the proposal only with the store, whose head can now be older than what it confirmed.

Change: with addresses of instances, accept fails with code 404 while an instance has a higher version in force than the store. Without them, or if none answers, it goes on and says so.

Result: TestAcceptWaitsForTheVersionInForce failed before (accepted as version 1 while version 5 was in force) and passes.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -228,6 +228,23 @@
 	c.run(ExitError, "[113]", "in-force")
 }
 
+// Guards against an accept under a version that is in force already: the store came back from an
+// older copy, and the instances would ignore the change.
+func TestAcceptWaitsForTheVersionInForce(t *testing.T) {
+	c := newCLITest(t)
+	c.withStore()
+	a := startInstance(t, "a", "laval", 5)
+	addKnownMembers(a)
+	path := c.proposal()
+	c.env["MONSOONTHREAD_INSTANCES"] = a.self.PeerAddress
+	c.run(ExitError, "[404] version 5 is in force, but the store has version 0", "questionnaire", "accept", path)
+	c.env["MONSOONTHREAD_INSTANCES"] = "127.0.0.1:1"
+	c.run(ExitOK, "cannot compare with the version in force", "questionnaire", "accept", path)
+	c.env["MONSOONTHREAD_INSTANCES"] = a.self.PeerAddress
+	a.version.Store(1)
+	c.run(ExitOK, "accepted as version 1", "questionnaire", "accept", path)
+}
+
 // Guards against events out of order, and against an undetected gap in the timeline when
 // one instance returns only its first events.
 func TestTimelineMergesByClock(t *testing.T) {
--- a/internal/ctl/questionnaire.go
+++ b/internal/ctl/questionnaire.go
@@ -220,7 +220,8 @@
 	c := &cobra.Command{
 		Use: "accept PROPOSAL", Short: "Accept a proposal and bring it into force", Args: exactArgs("PROPOSAL"),
 		Long: "Accept a proposal and bring it into force on every entry instance. If the outcome is unknown\n" +
-			"(code 407), run the command again with the same file to determine it.",
+			"(code 407), run the command again with the same file to determine it. With --instances, the command\n" +
+			"fails (code 404) while the store has an older version than the one in force.",
 		RunE: func(c *cobra.Command, args []string) error {
 			p, err := readProposal(args[0])
 			if err != nil {
@@ -230,6 +231,9 @@
 			if err != nil {
 				return err
 			}
+			if err := a.checkStoreNotBehind(c.Context()); err != nil {
+				return err
+			}
 			resume := p.AcceptStarted
 			p.AcceptStarted = true
 			if err := p.write(args[0]); err != nil {
@@ -253,6 +257,34 @@
 	return c
 }
 
+// checkStoreNotBehind fails if an instance has a higher version in force than the store, which then
+// came back from an older copy: the next versions would be ignored. Without addresses of instances, or
+// if none answers, there is nothing to compare.
+func (a *app) checkStoreNotBehind(ctx context.Context) error {
+	if len(a.instanceAddresses) == 0 {
+		return nil
+	}
+	instances, err := a.newInstanceClient()
+	if err != nil {
+		return err
+	}
+	r, err := instances.inForce(ctx, 0)
+	if err != nil {
+		a.progress("cannot compare with the version in force: %v", err)
+		return nil
+	}
+	accepted, err := a.acceptedVersion(ctx)
+	if err != nil {
+		a.progress("cannot compare with the version in force: %v", err)
+		return nil
+	}
+	if r.Target > accepted {
+		return result.Errorf(result.ConfigStale, "version %d is in force, but the store has version %d: it came back from an older copy; the instances write "+
+			"version %d again within seconds, then generate the proposal again", r.Target, accepted, r.Target)
+	}
+	return nil
+}
+
 func (a *app) acceptProgress(written, total int) {
 	const valuesPerLine = 100
 	if written%valuesPerLine == 0 || written == total {
