Soak: begin no restore after all faults have ended

Seed 2019 (12 s) failed, twice: "no instance is settled, so that the accepted version 5 cannot be checked". Traced in its logs: the run cleared all faults at 17:33, a restore that was pending on a timer took the store away at 17:36, the writes came again at 17:38.9, and the check at 17:42.4 wants 4 s without a store fault. The forwarders were right; the run broke its own condition.

Change: a restore that is due after the faults have ended does not begin, and what is still to be written again is written at their end. No check or bound changes.

--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -93,6 +93,8 @@
 	acceptedAt     time.Time            // when version was accepted
 	faultEnds      map[string]time.Time // end of the active fault by key, see endFault
 	lastStoreFault time.Time            // last start or end of a store fault
+	faultsOver     bool                 // no fault may begin any more
+	writesLost     bool                 // the store was restored and nothing has been written again yet
 	servers        []*server
 	nextID         int
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -143,16 +143,27 @@
 	older := d.store.Copy()
 	outage, writeAgain := d.randomDuration(1500), d.randomDuration(2000)
 	time.AfterFunc(d.randomDuration(4000), func() {
+		d.mu.Lock()
+		over := d.faultsOver
+		d.writesLost = d.writesLost || !over
+		d.mu.Unlock()
+		if over {
+			return
+		}
 		d.setStoreFault(metastore.Unavailable, outage)
 		d.store.Restore(older)
 		time.AfterFunc(outage+writeAgain, d.writeAgain)
 	})
 }
 
+// writeAgain writes what the store lost, unless that has been done since the last restore.
 func (d *deployment) writeAgain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastStoreFault = time.Now()
+	if !d.writesLost {
+		return
+	}
+	d.writesLost, d.lastStoreFault = false, time.Now()
 	d.store.Put(wire.ConfigurationKey, d.configuration)
 	for _, s := range d.servers {
 		s.mu.Lock()
@@ -229,9 +240,14 @@
 	s.Stop()
 }
 
-// clearFaults ends all active store and link faults and resumes paused processes.
+// clearFaults ends all active store and link faults, prevents pending restores and resumes paused
+// processes.
 func (d *deployment) clearFaults() {
+	d.mu.Lock()
+	d.faultsOver = true
+	d.mu.Unlock()
 	d.setStoreFault(metastore.NoFault, 0)
+	d.writeAgain()
 	for _, in := range d.instances {
 		in.storeLink.clearFaults()
 		in.peerLink.clearFaults()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,8 +17,9 @@
 		t.Fatal(err)
 	}
 	first, last, faultDuration := uint64(1), uint64(2), 8*time.Second
-	if text := os.Getenv("MONSOONTHREAD_SOAK_SEEDS"); text != "" {
-		if _, err := fmt.Sscanf(text, "%d-%d", &first, &last); err != nil {
+	byHand := os.Getenv("MONSOONTHREAD_SOAK_SEEDS")
+	if byHand != "" {
+		if _, err := fmt.Sscanf(byHand, "%d-%d", &first, &last); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -29,20 +30,37 @@
 		}
 	}
 	for seed := first; seed <= last; seed++ {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			r, err := Run(t.Context(), Options{ForwarderPath: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: faultDuration, InstancesPerDomain: 2, Clients: 12})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("seed %d: %d of %d requests served, version %d, %d servers", seed, r.RequestsServed, r.RequestsTried, r.Version, r.Servers)
-			for _, v := range r.Violations {
-				t.Error(v)
-			}
-			if t.Failed() {
-				keepLogs(t, r)
-			}
-		})
+		runSeed(t, binary, seed, faultDuration)
 	}
+	if byHand == "" {
+		for _, r := range regressions {
+			runSeed(t, binary, r.seed, r.faultDuration)
+		}
+	}
+}
+
+// regressions are runs that failed once.
+var regressions = []struct {
+	seed          uint64
+	faultDuration time.Duration
+}{
+	{2019, 12 * time.Second}, // the run restored the store after it had ended all faults
+}
+
+func runSeed(t *testing.T, binary string, seed uint64, faultDuration time.Duration) {
+	t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+		r, err := Run(t.Context(), Options{ForwarderPath: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: faultDuration, InstancesPerDomain: 2, Clients: 12})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d of %d requests served, version %d, %d servers", seed, r.RequestsServed, r.RequestsTried, r.Version, r.Servers)
+		for _, v := range r.Violations {
+			t.Error(v)
+		}
+		if t.Failed() {
+			keepLogs(t, r)
+		}
+	})
 }
 
 // keepLogs copies the instances' logs of a failed run out of the test's temporary
