Soak: a change after a restore is in force in time

Change: only what differs is written again, as on the platform, and a last phase loses three versions, waits until the store counts as stable and checks the next version.

--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -141,6 +141,13 @@
 	s.expireLeases()
 }
 
+// Value returns the value of a key; nil if it does not exist.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // Lease returns the ID of the lease of a key; 0 if there is none.
 func (s *Store) Lease(key string) uint64 {
 	s.mu.Lock()
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -192,6 +192,27 @@
 	d.checkVersionActive("after one instance in each failure domain was killed")
 }
 
+// checkChangeAfterRestore restores the store from a copy that lacks the last versions, while no other
+// faults are active, and checks that the next configuration is used within maxPropagationDelay.
+// The store gives it a revision that it had given out before.
+func (d *deployment) checkChangeAfterRestore() {
+	time.Sleep(settleTime + settleTime/2)
+	older := d.store.Copy()
+	for range 3 {
+		d.acceptNextVersion()
+	}
+	time.Sleep(time.Second)
+	d.mu.Lock()
+	d.writesLost = true
+	d.mu.Unlock()
+	d.store.Restore(older)
+	d.writeAgain()
+	time.Sleep(settleTime + settleTime/2)
+	d.acceptNextVersion()
+	time.Sleep(maxPropagationDelay)
+	d.checkVersionActive("after the store was restored from an older copy")
+}
+
 // watchesStore reports whether the instance watches the store itself.
 func (in *instance) watchesStore() bool {
 	page, ok := in.getPage(view.StatusPath)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -164,17 +166,20 @@
 		return
 	}
 	d.writesLost, d.lastStoreFault = false, time.Now()
-	d.store.Put(wire.ConfigurationKey, d.configuration)
+	if !bytes.Equal(d.store.Value(wire.ConfigurationKey), d.configuration) {
+		d.store.Put(wire.ConfigurationKey, d.configuration)
+	}
 	for _, s := range d.servers {
 		s.mu.Lock()
 		key, state := wire.ServerPrefix+s.ID, "ready"
 		if !s.drainedAt.IsZero() {
 			state = "draining"
 		}
-		if s.stoppedAt.IsZero() {
-			d.store.Put(key, s.Record(state))
-		} else {
+		switch {
+		case !s.stoppedAt.IsZero():
 			time.AfterFunc(2*time.Second, func() { d.store.Remove(key) })
+		case !bytes.Contains(d.store.Value(key), []byte(strconv.Quote(state))):
+			d.store.Put(key, s.Record(state))
 		}
 		s.mu.Unlock()
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -83,6 +83,7 @@
 	d.clearFaults()
 	d.checkTakeover()
 	d.checkChangeAfterCrashes()
+	d.checkChangeAfterRestore()
 	d.checkRecovery()
 	cancel()
 	workers.Wait()
