--- a/config/watcher.go
+++ b/config/watcher.go
@@ -247,44 +247,6 @@
 	return w.step(now)
 }
 
-// holdsLastHead reports whether the version in force is that of the last head, so that this instance
-// can write both again.
-func (w *Watcher) holdsLastHead() bool {
-	return w.lastHead != nil && w.lastHead.Version == w.version
-}
-
-// knownAccept returns the record of an accept that led to the last head. A store that has the
-// head of another accept was changed after it came back, and must not be overwritten.
-func (w *Watcher) knownAccept(id string) (AcceptRecord, bool) {
-	if w.lastHead == nil {
-		return AcceptRecord{}, false
-	}
-	return w.lastHead.findAccept(id)
-}
-
-func (w *Watcher) restoreHead(now time.Time, revision uint64) {
-	w.restoring = true
-	w.beginCall(now, &w.storeCall, w.cfg.LoadTimeout)
-	w.actions = append(w.actions, RestoreHead{w.storeCall.id, w.lastHead, revision})
-}
-
-// RestoreResult records the outcome of RestoreHead. The head is read again in any case: another
-// instance may have written it first.
-func (w *Watcher) RestoreResult(now time.Time, call uint64, err error) []WatchAction {
-	if call != w.storeCall.id || !w.restoring {
-		return w.step(now)
-	}
-	w.storeCall.id, w.restoring, w.revision = 0, false, 0
-	if err != nil && result.CodeOf(err) != result.StoreConflict {
-		w.scheduleRetry(now, &w.storeCall)
-		w.addEvent(EventStoreFailed, w.version, err)
-	} else if err == nil {
-		w.storeCall.failures = 0
-		w.addEvent(EventStoreRestored, w.version, nil)
-	}
-	return w.step(now)
-}
-
 // LoadResult records the outcome of LoadHead and the version now in force.
 func (w *Watcher) LoadResult(now time.Time, call uint64, version uint64, err error) []WatchAction {
 	if call != w.storeCall.id || w.loadingHead == nil {
