Review case 4: a planned exit of a host resets a flow with a request at work

A host that leaves stops listening for connections, finishes the requests at work and exits. A request that takes 120 ms without progress causes a probe, which is refused; the instance takes the host for dead and resets its flows, including the non-idempotent request that the host completes.

--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -165,9 +165,12 @@
 }
 
 // request sends a request and waits for its answer. It returns the request's ID.
-func (f *flow) request(method string) (string, error) {
+func (f *flow) request(method, header string) (string, error) {
 	id := fmt.Sprintf("r-%d", requests.Add(1))
-	data := []byte(method + " /order HTTP/1.1\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
+	if header != "" {
+		header += "\r\n"
+	}
+	data := []byte(method + " /order HTTP/1.1\r\nRequest-Id: " + id + "\r\n" + header + "Content-Length: 0\r\n\r\n")
 	p := flows.Packet{Flags: flagACK, Sequence: f.sequence, Ack: f.ack, Data: data}
 	f.client.d.rec.add("client %s sends request %s (%s) on %s", f.client.name, id, method, f.local)
 	f.send(p)
@@ -240,7 +243,7 @@
 		}
 		lifetime := time.Duration(1000+rand.IntN(6000)) * time.Millisecond
 		for ctx.Err() == nil && time.Since(f.openedAt) < lifetime {
-			id, err := f.request(method)
+			id, err := f.request(method, "")
 			if err == nil {
 				c.d.rec.add("client %s has the answer to request %s from host %s", c.name, id, f.host)
 				c.d.answered.Add(1)
@@ -256,6 +259,25 @@
 	}
 }
 
+// openAt opens flows, with a request on each, until one is at the host, and closes the others.
+func (c *client) openAt(host string, service netip.AddrPort) (*flow, error) {
+	for range 300 {
+		f, err := c.open(service)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := f.request("GET", ""); err != nil {
+			f.close()
+			continue
+		}
+		if f.host == host {
+			return f, nil
+		}
+		f.close()
+	}
+	return nil, fmt.Errorf("no flow was opened at host %s", host)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/review/cases/host.go
+++ b/review/cases/host.go
@@ -18,6 +18,10 @@
 
 const (
 	slots = 2
+	// longWork is the work of a request with longWorkHeader: the site file's longest order-line, 180 ms, at
+	// a host of speed 1.7.
+	longWork       = 306 * time.Millisecond
+	longWorkHeader = "Work: long"
 	// flagFIN and the other flags are those of the platform's packets.
 	flagSYN = flows.SYN
 	flagACK = flows.ACK
@@ -48,6 +52,7 @@
 	drainAt  time.Time // when the store acknowledged that the host is draining
 	opened   []time.Time
 	resets   map[netip.AddrPort]bool // clients' ends of the flows that it has reset
+	atWork   int                     // requests that are taken and not answered
 }
 
 type flowEnds struct{ client, service netip.AddrPort }
@@ -96,6 +101,30 @@
 	}
 }
 
+// leave ends a draining host as a server ends that is asked to: it stops listening for connections, serves
+// its open flows until no request is at work, and exits.
+func (h *host) leave() {
+	h.health.Close()
+	h.mu.Lock()
+	n := h.atWork
+	h.mu.Unlock()
+	h.rec.add("host %s stops listening for connections; %d requests are at work", h.id, n)
+	for {
+		time.Sleep(time.Millisecond)
+		h.mu.Lock()
+		idle := h.atWork == 0
+		if idle {
+			h.endedAt = time.Now()
+		}
+		h.mu.Unlock()
+		if idle {
+			break
+		}
+	}
+	h.conn.Close()
+	h.rec.add("host %s exits", h.id)
+}
+
 // stop ends the process: its sockets are closed and its flows are gone.
 func (h *host) stop(why string) {
 	h.mu.Lock()
@@ -214,6 +243,7 @@
 		f.next += uint32(len(p.Data))
 		f.answer = nil
 		h.send(key, f, flagACK, f.sequence, nil)
+		h.atWork++
 		go h.run(key, f, string(p.Data))
 	case len(p.Data) > 0 && f.answer != nil: // the client repeats a request that is answered
 		h.transmit(key, f.answer)
@@ -228,6 +258,11 @@
 
 // run works on a request in a slot and answers it.
 func (h *host) run(key flowEnds, f *hostFlow, request string) {
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.atWork--
+	}()
 	h.slots <- struct{}{}
 	if _, alive := h.runsSince(); !alive {
 		<-h.slots
@@ -236,7 +271,11 @@
 	name := requestID(request)
 	h.rec.add("host %s runs request %s of %s", h.id, name, key.client)
 	h.ran(h, name)
-	time.Sleep(h.work)
+	if strings.Contains(request, longWorkHeader) {
+		time.Sleep(longWork)
+	} else {
+		time.Sleep(h.work)
+	}
 	<-h.slots
 	h.mu.Lock()
 	defer h.mu.Unlock()
