--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -13,6 +13,7 @@
 	"late-write":    lateWrite,
 	"foreign-entry": foreignEntry,
 	"storm":         storm,
+	"takeover":      takeover,
 	"release":       release,
 }
 
--- a/review/cases/proxy.go
+++ b/review/cases/proxy.go
@@ -7,14 +7,17 @@
 	"sync/atomic"
 )
 
-// proxy relays the connections of the instances to the store. Connections that are open can go silent
+// proxy relays the connections of an instance to the store. Connections that are open can go silent
 // for good, while new ones work.
 type proxy struct {
 	target   netip.AddrPort
 	listener net.Listener
 
-	mu    sync.Mutex
-	links map[*link]struct{}
+	cut atomic.Bool // new connections are silent, too
+
+	mu       sync.Mutex
+	links    map[*link]struct{}
+	answered func() // called after each answer of the store, if not nil
 }
 
 // link is a relayed connection.
@@ -47,16 +50,17 @@
 			continue
 		}
 		l := &link{conns: [2]net.Conn{in, out}}
+		l.silent.Store(p.cut.Load())
 		p.mu.Lock()
 		p.links[l] = struct{}{}
 		p.mu.Unlock()
-		go p.relay(l, in, out)
-		go p.relay(l, out, in)
+		go p.relay(l, in, out, false)
+		go p.relay(l, out, in, true)
 	}
 }
 
 // relay copies one direction. On a silent link it reads and drops, so that neither end sees an end.
-func (p *proxy) relay(l *link, from, to net.Conn) {
+func (p *proxy) relay(l *link, from, to net.Conn, answers bool) {
 	b := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(b)
@@ -64,6 +68,12 @@
 			if _, werr := to.Write(b[:n]); werr != nil && err == nil {
 				err = werr
 			}
+			p.mu.Lock()
+			answered := p.answered
+			p.mu.Unlock()
+			if answers && answered != nil {
+				answered()
+			}
 		}
 		if err == nil {
 			continue
@@ -90,6 +100,19 @@
 	return len(p.links)
 }
 
+// onAnswer sets the function that is called after each answer.
+func (p *proxy) onAnswer(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = f
+}
+
+// partition cuts the instance off from the store, without a reset.
+func (p *proxy) partition() {
+	p.cut.Store(true)
+	p.silence()
+}
+
 func (p *proxy) close() {
 	p.listener.Close()
 	p.mu.Lock()
--- a/review/cases/storm.go
+++ b/review/cases/storm.go
@@ -62,7 +62,11 @@
 	time.Sleep(5 * time.Second)
 	began := time.Now()
 	if trouble {
-		d.rec.say("%d open connections to the store go silent; new ones work", d.proxy.silence())
+		n := 0
+		for _, in := range d.instances {
+			n += in.proxy.silence()
+		}
+		d.rec.say("%d open connections to the store go silent; new ones work", n)
 	}
 	for next := began; time.Since(began) < stormLength; next = next.Add(stormGap) {
 		time.Sleep(time.Until(next))
