--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -36,7 +36,7 @@
 	program          = "target/monsoonthread-forwarder"
 )
 
-var ordersAddress = netip.MustParseAddrPort("198.18.0.1:8443")
+var ordersAddress = netip.MustParseAddrPort("127.0.18.1:8443")
 
 type ports struct{ datagram, ready, peer, metrics, host uint16 }
 
--- a/review/cases/instance.go
+++ b/review/cases/instance.go
@@ -72,12 +72,3 @@
 	in.cmd = cmd
 	return nil
 }
-
-// lose ends the process for good.
-func (in *instance) lose() {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.cmd.Process.Kill()
-	in.cmd.Wait()
-	in.inTurn = false
-}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -13,7 +13,6 @@
 	"late-write":    lateWrite,
 	"foreign-entry": foreignEntry,
 	"storm":         storm,
-	"takeover":      takeover,
 	"release":       release,
 }
 
--- a/review/cases/proxy.go
+++ b/review/cases/proxy.go
@@ -13,11 +13,8 @@
 	target   netip.AddrPort
 	listener net.Listener
 
-	cut atomic.Bool // new connections are silent, too
-
-	mu       sync.Mutex
-	links    map[*link]struct{}
-	answered func() // called after each answer of the store, if not nil
+	mu    sync.Mutex
+	links map[*link]struct{}
 }
 
 // link is a relayed connection.
@@ -50,17 +47,16 @@
 			continue
 		}
 		l := &link{conns: [2]net.Conn{in, out}}
-		l.silent.Store(p.cut.Load())
 		p.mu.Lock()
 		p.links[l] = struct{}{}
 		p.mu.Unlock()
-		go p.relay(l, in, out, false)
-		go p.relay(l, out, in, true)
+		go p.relay(l, in, out)
+		go p.relay(l, out, in)
 	}
 }
 
 // relay copies one direction. On a silent link it reads and drops, so that neither end sees an end.
-func (p *proxy) relay(l *link, from, to net.Conn, answers bool) {
+func (p *proxy) relay(l *link, from, to net.Conn) {
 	b := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(b)
@@ -68,12 +64,6 @@
 			if _, werr := to.Write(b[:n]); werr != nil && err == nil {
 				err = werr
 			}
-			p.mu.Lock()
-			answered := p.answered
-			p.mu.Unlock()
-			if answers && answered != nil {
-				answered()
-			}
 		}
 		if err == nil {
 			continue
@@ -100,19 +90,6 @@
 	return len(p.links)
 }
 
-// onAnswer sets the function that is called after each answer.
-func (p *proxy) onAnswer(f func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.answered = f
-}
-
-// partition cuts the instance off from the store, without a reset.
-func (p *proxy) partition() {
-	p.cut.Store(true)
-	p.silence()
-}
-
 func (p *proxy) close() {
 	p.listener.Close()
 	p.mu.Lock()
--- a/review/cases/storm.go
+++ b/review/cases/storm.go
@@ -26,14 +26,14 @@
 func bigConfiguration() []map[string]any {
 	var out []map[string]any
 	for i := range bigRoutes {
-		out = append(out, map[string]any{"name": fmt.Sprintf("catalogue-of-garden-centre-%05d", i), "host": fmt.Sprintf("198.19.%d.%d", i/250, 1+i%250),
+		out = append(out, map[string]any{"name": fmt.Sprintf("catalogue-of-garden-centre-%05d", i), "host": fmt.Sprintf("127.0.%d.%d", 100+i/250, 1+i%250),
 			"prefix": "/8443/", "service": "orders", "kind": "idempotent", "timeoutMs": 2500, "targetLatencyMs": 150, "priority": 1, "trafficSplit": []any{}, "maxAttempts": 2})
 	}
 	return out
 }
 
 func addedRoute(version int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.9"), uint16(10000+version))
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.18.9"), uint16(10000+version))
 }
 
 // acceptVersion accepts a version that has the large configuration's routes and one of its own.
@@ -44,7 +44,7 @@
 	return d.accept(version, append([]map[string]any{route}, big...))
 }
 
-// storm accepts a large configuration, later 25 versions of it within two seconds. With trouble, the
+// storm accepts a large configuration, later 26 versions of it within two seconds. With trouble, the
 // connections that are open when they begin go silent. Flows to the route of the last version are then
 // sent to each instance that is ready, and a host leaves.
 func storm(d *deployment, trouble bool) error {
