Keep the flows of a server that refuses connections while it may be leaving

Cause: a refused connection counted as proof that the process had ended. A server that leaves closes its listener first and answers what it has. Ruled out: a false suspicion (the suspicion is right, nothing had progressed for 120 ms) and the removal of the record (the reset comes before it).

Change: forwarding/ended.go decides what proves an end. A refusal does while the server is listed, has not reported a drain and the records are current, since a server listens for the bound on draining after its report. Otherwise it is 'refusing': no new flows, open ones wait for two retransmissions without progress or 3 s of refusals. A flow that is seen first after the refusal asks again: a new process may have the ID.

The stand-in client no longer repeats a request that the server acknowledged.

--- /dev/null
+++ b/forwarding/ended.go
@@ -0,0 +1,86 @@
+package forwarding
+
+import "time"
+
+// This file answers one question for everything that could reset a flow: what proves that a
+// server's process has ended? Records, removals, listings, restored records and reports of peers
+// are no proof; they only lead to a probe. The proofs are:
+//   - the server's address refuses connections although the server cannot be leaving;
+//   - the address of a server that may be leaving refuses connections, and packets that clients
+//     repeat stay unanswered, or the refusals have lasted for maxLeavingTime.
+const (
+	// maxLeavingTime is how long a server may take for its last requests after it has stopped
+	// listening. Clients give up most requests within this time.
+	maxLeavingTime = 3 * time.Second
+	// askAgainInterval is the minimum time between probes that packets of flows at a server that
+	// refuses connections lead to.
+	askAgainInterval = 50 * time.Millisecond
+)
+
+// mayBeLeaving reports whether the server may still serve its open flows after it has stopped
+// listening. A server that leaves reports that it is draining and listens for at least the bound
+// on draining after that, so current records without such a report rule it out.
+func (e *Engine) mayBeLeaving(s *server) bool {
+	return !s.listed || s.leaving || e.cfg.RecordsCurrent != nil && !e.cfg.RecordsCurrent()
+}
+
+// applyRefusal handles a refused connection.
+func (e *Engine) applyRefusal(now time.Duration, s *server) []Action {
+	h := &s.health
+	if h.state == dead || !e.mayBeLeaving(s) {
+		return e.declareDead(now, s)
+	}
+	var actions []Action
+	if h.state != refusing {
+		e.setState(s, refusing)
+		h.refusingSince = now
+		actions = e.reportDown(now, s)
+	} else {
+		actions = e.repeatReport(s)
+	}
+	leavingUntil := max(h.refusingSince, h.lastProgress) + maxLeavingTime
+	switch {
+	case now >= leavingUntil:
+		return append(actions, e.declareDead(now, s)...)
+	case h.retransmissions >= resetRetransmissions:
+		actions = append(actions, e.resetFlows(now, s, false)...)
+	}
+	h.nextProbe = now + downProbeInterval
+	if !s.listed {
+		h.nextProbe = leavingUntil
+	}
+	return actions
+}
+
+// askAgain probes a server that refuses connections when a packet arrives for it. The flows that
+// were known at the last refusal are settled, so a flow at a dead server may be one of a new
+// process that started since.
+func (e *Engine) askAgain(now time.Duration, s *server) []Action {
+	h := &s.health
+	if h.probing || now < h.nextAsk || h.state != dead && (h.state != refusing || h.retransmissions < resetRetransmissions) {
+		return nil
+	}
+	h.nextAsk = now + askAgainInterval
+	return e.probe(s)
+}
+
+// declareDead marks the server's process as ended, moves its pending opening packets to other
+// servers and resets its open flows.
+func (e *Engine) declareDead(now time.Duration, s *server) []Action {
+	h := &s.health
+	h.nextProbe = now + downProbeInterval
+	var actions []Action
+	if h.state == dead {
+		actions = e.repeatReport(s)
+	} else {
+		e.setState(s, dead)
+		actions = e.reportDown(now, s)
+	}
+	return append(actions, e.resetFlows(now, s, true)...)
+}
+
+// reportDown tells the peers that the server is down and moves its pending opening packets to
+// other servers.
+func (e *Engine) reportDown(now time.Duration, s *server) []Action {
+	return append([]Action{{Kind: ReportToPeers, Target: s.target(), Server: s.Name}}, e.redirectPending(now, s)...)
+}
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -41,7 +41,10 @@
 	// Settles reports whether this instance probes the server with the cookie for its failure
 	// domain. If nil, the instance probes every server that it suspects.
 	Settles func(cookie uint32) bool
-	Seed    uint64
+	// RecordsCurrent reports whether the records include every change up to less than the bound on
+	// draining ago. If nil, they always do.
+	RecordsCurrent func() bool
+	Seed           uint64
 }
 
 // Engine holds the forwarding state of one instance.
@@ -222,9 +225,9 @@
 		d.Verdict, d.Reason = ResetFlow, ServerDead
 		s := f.server
 		e.removeFlow(f)
-		actions = append(actions, e.resetRemainingFlows(now, s)...)
+		return d, append(actions, e.resetRemainingFlows(now, s)...)
 	}
-	return d, actions
+	return d, append(actions, e.askAgain(now, f.server)...)
 }
 
 // serverByCookie returns the server with the packet's cookie, provided that the packet's
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -58,10 +58,11 @@
 	trusted     healthState = iota
 	suspected               // a probe is pending
 	unreachable             // probes are not answered
-	dead                    // the server's address refuses connections or belongs to another server
+	refusing                // the server's address refuses connections; its process may still serve open flows
+	dead                    // the server's process has ended
 )
 
-var healthStateNames = [...]string{"trusted", "suspected", "unreachable", "dead"}
+var healthStateNames = [...]string{"trusted", "suspected", "unreachable", "refusing", "dead"}
 
 func (s healthState) String() string { return healthStateNames[s] }
 
@@ -87,6 +88,8 @@
 	askedByPeer        bool          // peers wait for the outcome of a probe
 	reported           bool          // unreachable only by a peer's report
 	reportedUntil      time.Duration // end of that report
+	refusingSince      time.Duration // first of the consecutive refused connections
+	nextAsk            time.Duration // earliest time of the next probe by askAgain
 }
 
 // ProbeOutcome is the outcome of a probe.
@@ -212,7 +215,9 @@
 			e.recordAnswer(now, s, r.Elapsed)
 		}
 		return e.tellAlive(s)
-	case Refused, OtherServer:
+	case Refused:
+		return e.applyRefusal(now, s)
+	case OtherServer:
 		return e.declareDead(now, s)
 	}
 	h.nextProbe = now + downProbeInterval
@@ -223,6 +228,9 @@
 		h.nextProbe = now + inconclusiveProbeInterval
 		return nil
 	}
+	if h.state == refusing {
+		e.setState(s, unreachable) // the address does not answer at all any more
+	}
 	h.unansweredProbes++
 	h.timeoutConfirmedAt = now
 	return e.handleUnansweredProbe(now, s)
@@ -248,7 +256,7 @@
 	if h.state == suspected {
 		e.setState(s, unreachable)
 		h.nextProbe = now
-		return append([]Action{{Kind: ReportToPeers, Target: s.target(), Server: s.Name}}, e.redirectPending(now, s)...)
+		return e.reportDown(now, s)
 	}
 	if !e.certainlyUnreachable(now, s) {
 		if s.flows > 0 && h.unansweredProbes < resetUnansweredProbes {
@@ -271,20 +279,6 @@
 		now-h.lastProgress >= resetUnreachableAfter && now-h.timeoutConfirmedAt <= confirmedTimeoutLifetime
 }
 
-// declareDead marks the server as dead, moves its pending opening packets to other servers
-// and resets its open flows.
-func (e *Engine) declareDead(now time.Duration, s *server) []Action {
-	h := &s.health
-	h.nextProbe = now + downProbeInterval
-	if h.state == dead {
-		return e.repeatReport(s)
-	}
-	e.setState(s, dead)
-	actions := []Action{{Kind: ReportToPeers, Target: s.target(), Server: s.Name}}
-	actions = append(actions, e.redirectPending(now, s)...)
-	return append(actions, e.resetFlows(now, s, true)...)
-}
-
 // redirectPending sends the stored opening packets of an unresponsive server to other
 // servers.
 func (e *Engine) redirectPending(now time.Duration, s *server) []Action {
@@ -340,9 +334,9 @@
 }
 
 // shouldReset reports whether a packet of the flow is answered with a reset because its
-// server is down.
+// server does not answer any more.
 func (e *Engine) shouldReset(now time.Duration, f *flow) bool {
-	if f.server.health.state == dead {
+	if f.server.health.replaced {
 		return true
 	}
 	return (f.kind != NonIdempotent || !f.requestPending) && e.certainlyUnreachable(now, f.server)
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -57,6 +57,7 @@
 	cookie           uint32
 	local            bool
 	listed           bool   // the record exists
+	leaving          bool   // the process has reported that it is draining, perhaps in an earlier record
 	incarnation      uint32 // restarts that this instance knows of
 	shadowed         bool   // another server with the same cookie has a lower ID
 	removedAt        time.Duration
@@ -111,6 +112,7 @@
 		return nil
 	}
 	restarted := !s.listed || in.StartedAt != s.StartedAt
+	s.leaving = in.Draining || s.leaving && in.StartedAt <= s.StartedAt
 	e.setRecord(s, in)
 	s.listed = true
 	s.coldUntil = now + in.ColdLeft
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -119,7 +119,9 @@
 func (e *Engine) probeAgain(now time.Duration, s *server) []Action {
 	h := &s.health
 	switch {
-	case !s.listed || h.replaced || h.probing || now < h.nextProbe:
+	case h.replaced || h.probing || now < h.nextProbe:
+		return nil
+	case !s.listed && (h.state != refusing || s.flows == 0):
 		return nil
 	case h.reported && now < h.reportedUntil:
 		return nil
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -51,7 +51,7 @@
 }
 
 // ServerStates lists the possible values of ServerView.State.
-var ServerStates = []string{"trusted", "cold", "failing", "suspected", "shadowed", "draining", "unreachable", "gone", "dead"}
+var ServerStates = []string{"trusted", "cold", "failing", "suspected", "shadowed", "draining", "unreachable", "refusing", "gone", "dead"}
 
 // describeState returns the server's state, one of ServerStates, and the reason for it.
 func (s *server) describeState(now time.Duration) (state, reason string) {
@@ -60,7 +60,9 @@
 	case h.state == dead && h.replaced:
 		return "dead", "a newer record has its address"
 	case h.state == dead:
-		return "dead", "its address refused a connection or answered for another server"
+		return "dead", "its process has ended"
+	case h.state == refusing:
+		return "refusing", "its address refuses connections; it may still serve its open flows"
 	case !s.listed:
 		return "gone", "it has no record; open flows keep it"
 	case h.state == unreachable:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,7 @@
 		MaxFlows:          s.MaxFlows(),
 		NewFlowsPerPrefix: s.NewFlowsPerPrefix,
 		Settles:           func(cookie uint32) bool { return f.mesh.Settles(f.now(), cookie) },
+		RecordsCurrent:    func() bool { return f.mesh.Fresh(f.now()) },
 		Seed:              rand.Uint64(),
 	})
 	f.settings.Store(&s)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -131,6 +131,51 @@
 	d.request(d.openFlow(a), a, "i-2:x")
 }
 
+// Guards against a reset of a flow at a server that leaves: it has stopped listening for
+// connections and its record is removed while it works on its last request.
+func TestLeavingServerAnswersItsLastRequest(t *testing.T) {
+	d, a, b := startPair(t)
+	leaving := d.startServer("i-2", "orders", "laval", 2)
+	leaving.SetWork(400 * time.Millisecond)
+	for range 3 {
+		f := d.openFlow(a)
+		for f.Cookie() != 2 {
+			f = d.openFlow(a)
+		}
+		idle := d.openFlow(a)
+		for idle.Cookie() != 2 {
+			idle = d.openFlow(a)
+		}
+		d.store.Put(wire.ServerPrefix+"i-2", leaving.Record("draining"))
+		for _, i := range []*instance{a, b} {
+			d.eventually("drain known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+"i-2", "draining") })
+		}
+		answer := make(chan error, 1)
+		go func() {
+			_, err := f.Request(a.datagramAddress(), "x", 2*time.Second)
+			answer <- err
+		}()
+		time.Sleep(60 * time.Millisecond)
+		left := make(chan struct{})
+		go func() { leaving.Leave(); close(left) }()
+		d.store.Remove(wire.ServerPrefix + "i-2")
+		if err := <-answer; err != nil {
+			t.Fatalf("the last request at a leaving server: %v", err)
+		}
+		select {
+		case <-left:
+		case <-time.After(testTimeout):
+			t.Fatal("the server stand-in did not end")
+		}
+		// The server has ended: a request on the idle flow ends with a reset.
+		if _, err := idle.Request(a.datagramAddress(), "x", 3*time.Second); !errors.Is(err, flows.ErrResetByForwarder) {
+			t.Fatalf("request to a server that has left: %v", err)
+		}
+		leaving = d.startServer("i-2", "orders", "laval", 2)
+		leaving.SetWork(400 * time.Millisecond)
+	}
+}
+
 // Guards against new flows at a draining server.
 func TestDrainingServerGetsNoNewFlow(t *testing.T) {
 	d, a, b := startPair(t)
--- a/internal/standin/flows/client.go
+++ b/internal/standin/flows/client.go
@@ -148,6 +148,9 @@
 			if accept(got) {
 				return got, nil
 			}
+			if len(p.Data) > 0 && got.Ack == p.Sequence+uint32(len(p.Data)) {
+				retransmit.Stop() // the server has the request and works on it
+			}
 		case <-retransmit.C:
 			f.send(via, p)
 		case <-deadline:
--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -30,6 +30,8 @@
 
 	mu       sync.Mutex
 	flows    map[netip.AddrPort]*serverFlow
+	work     time.Duration // between a request and its response
+	atWork   int           // requests that have not been answered
 	counters Counters
 	onOpen   func(via netip.Addr, service netip.AddrPort)
 }
@@ -78,6 +80,29 @@
 	s.onOpen = f
 }
 
+// SetWork sets the time between a request and its response. The request is acknowledged at once.
+func (s *Server) SetWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = d
+}
+
+// Leave ends the server as a planned shutdown does: it stops listening for connections, answers the
+// requests that are at work, and returns after the sockets are closed.
+func (s *Server) Leave() {
+	s.health.Close()
+	for {
+		s.mu.Lock()
+		idle := s.atWork == 0
+		s.mu.Unlock()
+		if idle {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.conn.Close()
+}
+
 // Stop closes the sockets without notifying clients, like a crash.
 func (s *Server) Stop() {
 	s.conn.Close()
@@ -144,8 +169,32 @@
 		s.send(p, RST, p.Cookie, 0, 0, nil)
 	case len(p.Data) > 0:
 		f.cookie = p.Cookie
+		s.handleData(f, p)
+	}
+}
+
+func (s *Server) handleData(f *serverFlow, p Packet) {
+	if s.work == 0 {
 		s.respond(f, p)
+		return
 	}
+	isNew := p.Sequence == f.nextSequence
+	if isNew {
+		s.counters.Data++
+		f.nextSequence += uint32(len(p.Data))
+	}
+	s.send(p, ACK, f.cookie, f.sequence, f.nextSequence, nil)
+	if !isNew {
+		return
+	}
+	s.atWork++
+	p.Data = append([]byte(nil), p.Data...) // the buffer is used again
+	time.AfterFunc(s.work, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.respond(f, p)
+		s.atWork--
+	})
 }
 
 func (s *Server) respond(f *serverFlow, p Packet) {
