Let the answer at an address, not the order of records, decide who has it

Cause: the record with the latest revision counted as the owner of its address, and the other server was declared dead without a probe. Ruled out: ordering by the processes' starts, which late entries of other writers defeat.

A record that contradicts a server makes its own server unproven or is held back, and the address is asked; the answer refutes all others there. Probes tell who answered; one without a health path proves nobody. Refusals are no proof for 4 s after outdated records.

--- a/forwarding/benchmark_test.go
+++ b/forwarding/benchmark_test.go
@@ -20,7 +20,7 @@
 		s.listed = true
 	}
 	for _, s := range e.servers {
-		e.updateConflicts(0, s)
+		e.updateShadows(s)
 	}
 	keys := make([]FlowKey, flows)
 	for i := range keys {
--- a/forwarding/ended.go
+++ b/forwarding/ended.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// This file answers one question for everything that could reset a flow: what proves that a
-// server's process has ended? Records, removals, listings, restored records and reports of peers
-// are no proof; they only lead to a probe. The proofs are:
+// This file and claims.go answer one question for everything that could reset a flow: what proves
+// that a server's process has ended? Records, their order, removals, listings, restored records and
+// reports of peers are no proof; they only lead to a probe. The proofs are:
+//   - another server answers at the server's address;
 //   - the server's address refuses connections although the server cannot be leaving;
 //   - the address of a server that may be leaving refuses connections, and packets that clients
 //     repeat stay unanswered, or the refusals have lasted for maxLeavingTime.
@@ -19,17 +20,27 @@
 
 // mayBeLeaving reports whether the server may still serve its open flows after it has stopped
 // listening. A server that leaves reports that it is draining and listens for at least the bound
-// on draining after that, so current records without such a report rule it out.
-func (e *Engine) mayBeLeaving(s *server) bool {
-	return !s.listed || s.leaving || e.cfg.RecordsCurrent != nil && !e.cfg.RecordsCurrent()
+// on draining after that, so current records without such a report rule it out. If the records
+// were outdated until a moment ago, as after a start, a late write may hide the report.
+func (e *Engine) mayBeLeaving(now time.Duration, s *server) bool {
+	return !s.listed || s.leaving || now-e.outdatedAt < claimLifetime
 }
 
-// applyRefusal handles a refused connection.
-func (e *Engine) applyRefusal(now time.Duration, s *server) []Action {
-	h := &s.health
-	if h.state == dead || !e.mayBeLeaving(s) {
+// applyRefusal handles a refused connection of a probe that began at a time.
+func (e *Engine) applyRefusal(now time.Duration, s *server, began time.Duration) []Action {
+	switch {
+	case s.claimsElsewhere():
+		return e.applyClaim(now, s)
+	case s.health.state == dead || !e.mayBeLeaving(now, s) && !e.mayBeElsewhere(now, s) && s.answeredAt <= began:
 		return e.declareDead(now, s)
 	}
+	return e.keepFlows(now, s)
+}
+
+// keepFlows keeps new flows away from a server that is not at its address any more, but may still
+// serve its open flows.
+func (e *Engine) keepFlows(now time.Duration, s *server) []Action {
+	h := &s.health
 	var actions []Action
 	if h.state != refusing {
 		e.setState(s, refusing)
@@ -40,6 +51,7 @@
 	}
 	leavingUntil := max(h.refusingSince, h.lastProgress) + maxLeavingTime
 	switch {
+	case e.mayBeElsewhere(now, s):
 	case now >= leavingUntil:
 		return append(actions, e.declareDead(now, s)...)
 	case h.retransmissions >= resetRetransmissions:
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -69,6 +69,8 @@
 	untrustedServers   map[*server]struct{} // servers that are not trusted
 	activeServers      map[*server]struct{} // servers with a nonzero request rate
 	failedServers      map[*server]struct{} // servers with recent failures
+	claimants          map[*server]struct{} // servers with a claim
+	outdatedAt         time.Duration        // last time that the records were not known to be current; at first the start
 	unreportedFailures []uint32             // cookies of the servers of failures not yet reported to peers
 	lastTick           time.Duration
 	runningSince       time.Duration // time of the first tick after the last pause of the process
@@ -109,6 +111,7 @@
 		untrustedServers: make(map[*server]struct{}),
 		activeServers:    make(map[*server]struct{}),
 		failedServers:    make(map[*server]struct{}),
+		claimants:        make(map[*server]struct{}),
 		byAddress:        make(map[netip.AddrPort][]*server),
 		peerLoads:        make(map[string]peerLoads),
 		handshake:        float64(initialHandshake),
@@ -272,10 +275,14 @@
 		e.runningSince = now
 	}
 	e.lastTick = now
+	if e.cfg.RecordsCurrent != nil && !e.cfg.RecordsCurrent() {
+		e.outdatedAt = now
+	}
 	actions := append(e.checkPending(now), e.checkSilence(now)...)
 	for s := range e.untrustedServers {
 		actions = append(actions, e.probeAgain(now, s)...)
 	}
+	actions = append(actions, e.settleClaims(now)...)
 	e.expire(now)
 	e.expirePeerLoads(now)
 	actions = append(actions, e.measureRates(now)...)
--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -26,6 +26,7 @@
 	s := new(script)
 	s.e = New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 1000, NewFlowsPerPrefix: 500, Seed: 1, RecordsCurrent: func() bool { return !s.recordsOutdated }})
 	s.e.SetComplete()
+	s.e.outdatedAt = -claimLifetime // the instance has run for a while
 	return s
 }
 
@@ -150,11 +151,23 @@
 	if service == "" {
 		service = "orders"
 	}
+	sequence := s.rev
+	if text, ok := args["sequence"]; ok {
+		sequence = number(t, text)
+	}
 	return Server{
 		Name: args["id"], ID: number(t, args["id"]), Service: service, Domain: domain, Slots: 2,
 		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number(t, args["host"]))}), 80),
-		Draining: args["draining"] != "", StartedAt: int64(number(t, args["started"])), Revision: s.rev, Unconfirmed: args["unconfirmed"] != "",
+		Draining: args["draining"] != "", StartedAt: int64(number(t, args["started"])), Sequence: sequence, Revision: s.rev, Unconfirmed: args["unconfirmed"] != "",
+	}
+}
+
+// address returns the address of the server with a number; the zero address without one.
+func (s *script) address(t *testing.T, host string) netip.AddrPort {
+	if host == "" {
+		return netip.AddrPort{}
 	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number(t, host))}), 80)
 }
 
 // packet sends a packet from the client port in client to the service port in port (443 by
@@ -191,7 +204,7 @@
 	s.actions(s.e.ApplyProbeResult(s.now, args["id"], ProbeResult{
 		Outcome: ProbeOutcome(slices.Index(outcomes, args["outcome"])), Elapsed: elapsed, Stalled: stalled,
 		Reference:   ReferenceOutcome(slices.Index(references, args["reference"])),
-		Incarnation: uint32(number(t, args["incarnation"])),
+		Incarnation: uint32(number(t, args["incarnation"])), Answerer: args["answerer"], Address: s.address(t, args["at"]),
 	}))
 }
 
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -1,6 +1,9 @@
 package forwarding
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// A server becomes suspected when an opening packet stays unanswered for
@@ -70,7 +73,7 @@
 type serverHealth struct {
 	state              healthState
 	probing            bool
-	replaced           bool          // a newer record has the server's address
+	replaced           bool          // another server has answered at the server's address
 	retransmissions    int           // client retransmissions since the last progress
 	unansweredProbes   int           // consecutive unanswered probes
 	lastProgress       time.Duration // last packet that showed progress on any flow
@@ -106,7 +109,7 @@
 
 // setState sets a server's state and updates the set of servers that are not trusted.
 func (e *Engine) setState(s *server, state healthState) {
-	s.health.state, s.health.reported = state, false
+	s.health.state, s.health.reported, s.health.replaced = state, false, false
 	if state == trusted {
 		s.health.asked = false
 		delete(e.untrustedServers, s)
@@ -119,7 +122,9 @@
 // answers.
 func (e *Engine) recordProgress(now time.Duration, s *server, elapsed time.Duration) {
 	s.health.lastProgress, s.health.retransmissions, s.health.settledAnswers = now, 0, 0
-	s.Unconfirmed = false
+	if elapsed != unknownElapsed { // this instance sent what the server has answered
+		s.unproven, s.answeredAt = false, now
+	}
 	if s.health.state == suspected || s.health.reported {
 		e.setState(s, trusted)
 	}
@@ -161,7 +166,7 @@
 // due.
 func (e *Engine) suspect(now time.Duration, s *server) []Action {
 	h := &s.health
-	if h.probing || h.state >= unreachable && !h.reported || h.replaced || now < h.nextSuspect {
+	if h.probing || h.state >= unreachable && !h.reported || now < h.nextSuspect {
 		return nil
 	}
 	if h.state != suspected {
@@ -187,6 +192,8 @@
 	Elapsed   time.Duration
 	Stalled   bool // the process was paused during the probe, so a missing answer proves nothing
 	Reference ReferenceOutcome
+	Address   netip.AddrPort // that was probed; if not set, the server's
+	Answerer  string         // name of the server that answered, if the outcome is OtherServer
 	// Incarnation is that of the probe's Action. The result of a probe that began before the
 	// server restarted says nothing about the new process.
 	Incarnation uint32
@@ -198,27 +205,36 @@
 	if s == nil || r.Incarnation != s.incarnation {
 		return nil
 	}
+	if r.Address.IsValid() && r.Address != s.Address {
+		return e.applyClaimResult(now, s, r)
+	}
 	h := &s.health
 	h.probing = false
+	began := now - r.Elapsed
 	outcome := r.Outcome
-	if s.Unconfirmed && outcome == NoValidAnswer {
+	if s.unproven && outcome == NoValidAnswer {
 		outcome = ConnectTimeout // another server may have the address
 	}
 	switch outcome {
 	case Answered, NoValidAnswer:
 		// A server that accepts connections but answers slowly may just be busy.
-		if !h.replaced {
-			e.trustAfterAnswer(now, s)
-			h.settledAnswers = 0
+		if outcome == NoValidAnswer && h.replaced {
+			h.nextProbe = now + downProbeInterval
+			return nil
 		}
-		if r.Outcome == Answered {
+		e.trustAfterAnswer(now, s)
+		h.settledAnswers = 0
+		actions := e.tellAlive(s)
+		if outcome == Answered {
 			e.recordAnswer(now, s, r.Elapsed)
+			actions = append(actions, e.confirmOwner(now, s, began)...)
 		}
-		return e.tellAlive(s)
+		return actions
 	case Refused:
-		return e.applyRefusal(now, s)
+		return e.applyRefusal(now, s, began)
 	case OtherServer:
-		return e.declareDead(now, s)
+		actions := e.replaced(now, s, began)
+		return append(actions, e.applyAnswerer(now, s.Address, r.Answerer, began)...)
 	}
 	h.nextProbe = now + downProbeInterval
 	if h.state == dead || h.state == trusted {
@@ -240,7 +256,7 @@
 func (e *Engine) trustAfterAnswer(now time.Duration, s *server) {
 	h := &s.health
 	e.setState(s, trusted)
-	s.Unconfirmed = false
+	s.unproven = false
 	h.unansweredProbes, h.inconclusive, h.nextSuspect = 0, false, now+suspectRetryInterval
 	if now-h.answeredAt > suspectBackoffReset {
 		h.answeredProbes = 0
--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -21,6 +21,7 @@
 	confirmedTimeouts map[string]int          // unanswered probes with an answered reference connection
 	servers           map[string]*serverModel
 	recordsOutdated   bool
+	outdatedAt        time.Duration
 }
 
 // serverModel is what the history knows about a server.
@@ -29,6 +30,7 @@
 	refusing        bool // the last probes were refused
 	refusingSince   time.Duration
 	ended           bool // it refused a probe while it could not be leaving
+	replaced        bool // another server answered for it, and it has not answered since
 }
 
 func newRandomHistory() *randomHistory {
@@ -54,6 +56,10 @@
 
 func serverName(n int) string { return string(rune('A' + n)) }
 
+func serverAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
+}
+
 func (w *randomHistory) put(n int, draining bool) []Action {
 	w.rev++
 	domain := "a"
@@ -62,13 +68,13 @@
 	}
 	m := w.servers[serverName(n)]
 	if !m.listed {
-		m.refusing, m.ended = false, false
+		m.refusing, m.ended, m.replaced = false, false, false
 		delete(w.probeOutcomes, serverName(n))
 	}
 	m.listed, m.drained = true, m.drained || draining
 	return w.e.PutServer(w.now, Server{
-		Name: serverName(n), ID: uint64(n + 1), Service: "orders", Domain: domain, Slots: 2, Draining: draining, Revision: w.rev,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		Name: serverName(n), ID: uint64(n + 1), Service: "orders", Domain: domain, Slots: 2, Draining: draining, Sequence: w.rev, Revision: w.rev,
+		Address: serverAddress(n),
 	})
 }
 
@@ -87,6 +93,9 @@
 
 func (w *randomHistory) step(t *rapid.T) {
 	w.now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+	if rapid.IntRange(0, 20).Draw(t, "pause") == 0 {
+		w.now += 5 * time.Second
+	}
 	n := rapid.IntRange(0, 5).Draw(t, "server")
 	key := FlowKey{Client: 7, ClientPort: uint16(rapid.IntRange(1, 12).Draw(t, "client")), Service: 10, ServicePort: 443}
 	if rapid.Bool().Draw(t, "route") {
@@ -100,7 +109,7 @@
 	case 1:
 		w.rev++
 		w.servers[serverName(n)].listed = false
-		w.checkActions(t, w.e.RemoveServer(w.now, Server{Name: serverName(n), ID: uint64(n + 1), Service: "orders", Revision: w.rev}))
+		w.checkActions(t, w.e.RemoveServer(w.now, Server{Name: serverName(n), ID: uint64(n + 1), Service: "orders", Revision: w.rev, Address: serverAddress(n)}))
 	case 2:
 		outcome := ProbeOutcome(rapid.IntRange(0, 4).Draw(t, "outcome"))
 		w.probeOutcomes[serverName(n)] = outcome
@@ -112,28 +121,41 @@
 		case outcome != ConnectTimeout:
 			w.confirmedTimeouts[serverName(n)] = 0
 		}
-		w.checkActions(t, w.e.ApplyProbeResult(w.now, serverName(n), ProbeResult{Outcome: outcome, Elapsed: time.Millisecond, Reference: reference}))
+		w.checkActions(t, w.e.ApplyProbeResult(w.now, serverName(n), ProbeResult{Outcome: outcome, Elapsed: time.Millisecond, Reference: reference, Incarnation: w.incarnation(n)}))
 	case 3:
 		w.configure()
 	case 4, 5:
 		w.open(t, key)
 	case 6:
+		if w.recordsOutdated {
+			w.outdatedAt = w.now
+		}
 		w.checkActions(t, w.e.Tick(w.now))
 	default:
 		w.data(t, key)
 	}
 }
 
+func (w *randomHistory) incarnation(n int) uint32 {
+	if s := w.e.servers[serverName(n)]; s != nil {
+		return s.incarnation
+	}
+	return 0
+}
+
 func (w *randomHistory) recordProbe(name string, outcome ProbeOutcome) {
 	m := w.servers[name]
 	switch {
 	case outcome == Answered || outcome == NoValidAnswer:
 		m.refusing, m.ended = false, false
+		m.replaced = m.replaced && outcome == NoValidAnswer
+	case outcome == OtherServer:
+		m.replaced = true
 	case outcome == Refused:
 		if !m.refusing {
 			m.refusing, m.refusingSince = true, w.now
 		}
-		m.ended = m.ended || m.listed && !m.drained && !w.recordsOutdated
+		m.ended = m.ended || m.listed && !m.drained && w.now-w.outdatedAt >= claimLifetime
 	}
 }
 
@@ -206,12 +228,9 @@
 	delete(w.owner, key)
 	s := w.e.byCookie[cookie][0]
 	outcome, probed := w.probeOutcomes[s.Name]
-	if probed && outcome == OtherServer {
-		return
-	}
 	noProgressFor := w.now - w.progress[cookie]
-	if m := w.servers[s.Name]; probed && outcome == Refused &&
-		(m.ended || s.health.retransmissions >= resetRetransmissions || min(noProgressFor, w.now-m.refusingSince) >= maxLeavingTime) {
+	if m := w.servers[s.Name]; m.ended || m.replaced || probed && outcome == Refused &&
+		(s.health.retransmissions >= resetRetransmissions || min(noProgressFor, w.now-m.refusingSince) >= maxLeavingTime) {
 		return
 	}
 	// The first unanswered probe may be confirmed by other servers' answers.
--- a/forwarding/record_history_test.go
+++ b/forwarding/record_history_test.go
@@ -33,7 +33,7 @@
 	if n%3 == 0 {
 		domain = "b"
 	}
-	return Server{Name: fmt.Sprint(n), ID: uint64(n), Service: "orders", Domain: domain, Slots: 2, Revision: h.rev,
+	return Server{Name: fmt.Sprint(n), ID: uint64(n), Service: "orders", Domain: domain, Slots: 2, Sequence: h.rev, Revision: h.rev,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)}
 }
 
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -28,12 +29,19 @@
 	Draining  bool
 	ColdLeft  time.Duration // remaining time for which the server is slow after its start
 	StartedAt int64         // start time of the process as reported by the server; 0 if unknown
+	Sequence  uint64        // counts the records that the process has written since its start
 	Revision  uint64        // position of the record in the order of all changes
 	// Unconfirmed marks a record that was removed and is back without a sign of life of the server.
 	// The server gets new flows only after it has answered.
 	Unconfirmed bool
 }
 
+// writtenBefore reports whether the record was written before the other one, by the same process or
+// by an earlier one with the same name.
+func (s *Server) writtenBefore(o *Server) bool {
+	return cmp.Or(cmp.Compare(s.StartedAt, o.StartedAt), cmp.Compare(s.Sequence, o.Sequence)) < 0
+}
+
 type service struct {
 	name              string
 	healthPath        string
@@ -56,10 +64,15 @@
 	service          *service
 	cookie           uint32
 	local            bool
-	listed           bool   // the record exists
-	leaving          bool   // the process has reported that it is draining, perhaps in an earlier record
-	incarnation      uint32 // restarts that this instance knows of
-	shadowed         bool   // another server with the same cookie has a lower ID
+	listed           bool          // the record exists
+	leaving          bool          // the process has reported that it is draining, perhaps in an earlier record
+	unproven         bool          // gets new flows only after it has answered
+	answeredAt       time.Duration // last answer of its process at its address; 0 without one
+	addressSince     time.Duration // when the record with its address was applied
+	startedAt        time.Duration // when the first record of its process, or after a removal, was applied
+	claim            *claim        // a record that is not applied yet
+	incarnation      uint32        // restarts that this instance knows of
+	shadowed         bool          // another server with the same cookie has a lower ID
 	removedAt        time.Duration
 	coldUntil        time.Duration
 	leastLoadedUntil time.Duration // until when it counts as reported by its failure domain
@@ -77,7 +90,7 @@
 
 // usable reports whether new flows may go to the server.
 func (s *server) usable() bool {
-	return s.listed && !s.Unconfirmed && !s.Draining && !s.shadowed && s.health.state == trusted
+	return s.listed && !s.unproven && !s.Draining && !s.shadowed && s.health.state == trusted
 }
 
 // usableAfterRemoval reports whether the server may get new flows although its record
@@ -89,7 +102,7 @@
 // usableAsLastResort reports whether the server may get new flows although it looks
 // unreachable: the instance's own link may be saturated.
 func (s *server) usableAsLastResort(time.Duration) bool {
-	return s.listed && !s.Unconfirmed && !s.Draining && !s.shadowed && s.health.state <= unreachable && s.health.unansweredProbes < lastResortUnansweredProbes
+	return s.listed && !s.unproven && !s.Draining && !s.shadowed && s.health.state <= unreachable && s.health.unansweredProbes < lastResortUnansweredProbes
 }
 
 func (e *Engine) service(name string) *service {
@@ -102,32 +115,46 @@
 }
 
 // PutServer applies a record of a backend server. A record that is older than the known one is
-// ignored.
+// ignored. A record that contradicts a living process is a claim, see claims.go.
 func (e *Engine) PutServer(now time.Duration, in Server) []Action {
 	s := e.servers[in.Name]
-	known := s != nil
-	if !known {
+	switch {
+	case s == nil:
 		s = e.addServer(in)
-	} else if in.Revision < s.Revision || s.listed && in == s.Server {
+	case in.Revision < s.Revision || s.listed && s.claim == nil && in == s.Server:
 		return nil
+	case s.contradictedBy(&in):
+		return e.holdClaim(now, s, in)
 	}
-	restarted := !s.listed || in.StartedAt != s.StartedAt
+	return e.applyRecord(now, s, in)
+}
+
+// applyRecord makes a record the one in force.
+func (e *Engine) applyRecord(now time.Duration, s *server, in Server) []Action {
+	known := s.service != nil
+	newProcess := !known || in.StartedAt != s.StartedAt || in.Address != s.Address
+	restarted := !s.listed || newProcess
+	returned := known && !s.listed && !s.writtenBefore(&in)
 	s.leaving = in.Draining || s.leaving && in.StartedAt <= s.StartedAt
+	s.unproven = in.Unconfirmed || returned || s.unproven && !newProcess
+	if newProcess {
+		s.answeredAt, s.addressSince = 0, now
+	}
+	e.dropClaim(s)
 	e.setRecord(s, in)
 	s.listed = true
 	s.coldUntil = now + in.ColdLeft
 	if restarted && known {
 		s.incarnation++
 	}
-	if restarted {
-		e.setState(s, trusted)
-		s.health = serverHealth{}
-	}
-	actions := e.updateConflicts(now, s)
-	if s.Unconfirmed {
-		actions = append(actions, e.suspect(now, s)...)
+	e.updateShadows(s)
+	if !restarted {
+		return nil
 	}
-	return actions
+	s.startedAt = now
+	e.setState(s, trusted)
+	s.health = serverHealth{}
+	return e.contest(now, s)
 }
 
 // RemoveServer applies the removal of a record. in holds the record's last value and the
@@ -139,21 +166,27 @@
 	case s == nil:
 		s = e.addServer(in)
 		e.setRecord(s, in)
-		s.removedAt = now - removalGracePeriod
-		return e.updateConflicts(now, s)
+		s.removedAt, s.addressSince = now-removalGracePeriod, now
+		e.updateShadows(s)
+		return nil
 	case in.Revision <= s.Revision:
 		return nil
 	}
 	s.Revision = in.Revision
+	if s.claimsElsewhere() {
+		s.claim.removed = true
+	} else {
+		e.dropClaim(s)
+	}
 	if !s.listed {
 		return nil
 	}
 	s.listed, s.removedAt = false, now
-	actions := e.updateConflicts(now, s)
+	e.updateShadows(s)
 	if s.flows > 0 {
-		actions = append(actions, e.suspect(now, s)...)
+		return e.suspect(now, s)
 	}
-	return actions
+	return nil
 }
 
 func (e *Engine) addServer(in Server) *server {
@@ -192,35 +225,14 @@
 	svc.local, svc.remote, svc.remoteLeastLoaded = remove(svc.local, s), remove(svc.remote, s), remove(svc.remoteLeastLoaded, s)
 }
 
-// supersedes reports whether s has taken over the address of o: an address is assigned to
-// another server only after the earlier server has ended.
-func (s *server) supersedes(o *server) bool {
-	return s != o && s.Address == o.Address && s.listed && !s.Unconfirmed && (!o.listed || o.Unconfirmed || o.Revision < s.Revision)
-}
-
-// updateConflicts recomputes which of the servers that share the server's cookie or address
-// may be used. Its cost does not depend on the number of other servers.
-func (e *Engine) updateConflicts(now time.Duration, s *server) []Action {
+// updateShadows recomputes which of the servers that share the server's cookie gets new flows. Its
+// cost does not depend on the number of other servers.
+func (e *Engine) updateShadows(s *server) {
 	sameCookie := e.byCookie[s.cookie]
 	lowest := lowestID(sameCookie)
 	for _, o := range sameCookie {
 		o.shadowed = o.cookie == 0 || lowest != nil && o != lowest
 	}
-	owner := s
-	for _, o := range e.byAddress[s.Address] {
-		if o.supersedes(owner) {
-			owner = o
-		}
-	}
-	var actions []Action
-	for _, o := range e.byAddress[s.Address] {
-		replaced := owner.supersedes(o)
-		if replaced && !o.health.replaced {
-			actions = append(actions, e.declareDead(now, o)...)
-		}
-		o.health.replaced = replaced
-	}
-	return actions
 }
 
 // lowestID returns the listed server with the lowest ID. All instances thus agree which of
@@ -250,6 +262,7 @@
 	delete(e.untrustedServers, s)
 	delete(e.activeServers, s)
 	delete(e.failedServers, s)
+	delete(e.claimants, s)
 	s.service.removeServer(s)
 	if e.byCookie[s.cookie] = remove(e.byCookie[s.cookie], s); len(e.byCookie[s.cookie]) == 0 {
 		delete(e.byCookie, s.cookie)
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -44,7 +44,7 @@
 	for _, s := range e.byCookie[cookie] {
 		h := &s.health
 		switch {
-		case !s.listed || h.replaced:
+		case !s.listed:
 		case h.state == trusted && (now < h.nextSuspect || h.lastProgress > 0 && now-h.lastProgress <= recentProgress):
 			actions = append(actions, Action{Kind: TellAlive, Target: s.target(), Server: s.Name})
 		case h.state >= unreachable && !h.reported:
@@ -61,7 +61,7 @@
 func (e *Engine) SettledAlive(now time.Duration, cookie uint32) {
 	for _, s := range e.byCookie[cookie] {
 		h := &s.health
-		if h.asked && !h.probing && h.state == suspected && !h.replaced {
+		if h.asked && !h.probing && h.state == suspected {
 			e.trustAfterAnswer(now, s)
 			h.settledAnswers++
 		}
@@ -108,7 +108,7 @@
 // markReported keeps new flows away from a server that a peer reported as down.
 func (e *Engine) markReported(now time.Duration, s *server) {
 	h := &s.health
-	if !s.listed || h.replaced || h.probing || h.state >= unreachable && !h.reported {
+	if !s.listed || h.probing || h.state >= unreachable && !h.reported {
 		return
 	}
 	e.relyOnReports(now, s)
@@ -119,15 +119,17 @@
 func (e *Engine) probeAgain(now time.Duration, s *server) []Action {
 	h := &s.health
 	switch {
-	case h.replaced || h.probing || now < h.nextProbe:
+	case h.probing || now < h.nextProbe:
 		return nil
 	case !s.listed && (h.state != refusing || s.flows == 0):
 		return nil
+	case h.replaced && s.flows == 0 && !e.settles(s): // the proof holds until a new process writes a record
+		return nil
 	case h.reported && now < h.reportedUntil:
 		return nil
 	case h.reported:
 		e.setState(s, trusted)
-		if s.Unconfirmed {
+		if s.unproven {
 			return e.suspect(now, s)
 		}
 		return nil
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -58,11 +58,11 @@
 	h := &s.health
 	switch {
 	case h.state == dead && h.replaced:
-		return "dead", "a newer record has its address"
+		return "dead", "another server answers at its address"
 	case h.state == dead:
 		return "dead", "its process has ended"
 	case h.state == refusing:
-		return "refusing", "its address refuses connections; it may still serve its open flows"
+		return "refusing", "nobody answers for it at its address; it may still serve its open flows"
 	case !s.listed:
 		return "gone", "it has no record; open flows keep it"
 	case h.state == unreachable:
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -176,6 +176,51 @@
 	}
 }
 
+// startRestartedPair starts a pair whose server i-1 has ended and is followed by i-2 at its address. It
+// returns a record that i-1 wrote, and open flows at i-2.
+func startRestartedPair(t *testing.T) (d *deployment, pair [2]*instance, record []byte, open []*flows.Flow) {
+	d, a, b := startPair(t)
+	pair = [2]*instance{a, b}
+	record = d.servers["i-1"].Record("ready")
+	d.servers["i-1"].Stop()
+	d.startServer("i-2", "orders", "laval", 1)
+	d.store.Remove(wire.ServerPrefix + "i-1")
+	for _, i := range pair {
+		d.eventually("new process known", configurationBound, func() bool {
+			return i.hasRecord(wire.ServerPrefix+"i-2", "ready") && !i.hasRecord(wire.ServerPrefix+"i-1", "")
+		})
+		open = append(open, d.openFlow(i), d.openFlow(i))
+	}
+	return d, pair, record, open
+}
+
+// checkFlowsOfLivingServer checks for a second that the flows at i-2 go on and that new ones open there.
+func (d *deployment) checkFlowsOfLivingServer(pair [2]*instance, open []*flows.Flow) {
+	d.t.Helper()
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		for n, f := range open {
+			via := pair[n/2]
+			d.request(f, via, "i-2:x")
+			d.request(d.openFlow(via), via, "i-2:x")
+		}
+	}
+}
+
+// Guards against resets of a living server's flows when the store executes a write of an earlier
+// process at its address late, twice in a row.
+func TestLateWriteResetsNoFlow(t *testing.T) {
+	d, pair, late, open := startRestartedPair(t)
+	for range 2 {
+		d.store.Put(wire.ServerPrefix+"i-1", late)
+		for _, i := range pair {
+			d.eventually("late write known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+"i-1", "ready") })
+		}
+		d.checkFlowsOfLivingServer(pair, open)
+		d.store.Remove(wire.ServerPrefix + "i-1")
+		d.checkFlowsOfLivingServer(pair, open)
+	}
+}
+
 // Guards against new flows at a draining server.
 func TestDrainingServerGetsNoNewFlow(t *testing.T) {
 	d, a, b := startPair(t)
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -111,16 +111,16 @@
 	default:
 		// Without a free slot, the probe counts as stalled on this instance.
 		f.mu.Lock()
-		f.engine.ApplyProbeResult(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.ConnectTimeout, Stalled: true, Incarnation: a.Incarnation})
+		f.engine.ApplyProbeResult(started, a.Server, forwarding.ProbeResult{Outcome: forwarding.ConnectTimeout, Stalled: true, Incarnation: a.Incarnation, Address: a.Target.Address})
 		f.mu.Unlock()
 		return
 	}
 	reference := make(chan forwarding.ReferenceOutcome, 1)
 	go func() { reference <- connectToReference(a.Reference) }()
-	outcome, err := health.Check(a.Target.Address, a.Path, a.Server)
+	outcome, answerer, err := health.Check(a.Target.Address, a.Path, a.Server)
 	f.counters.probes[outcome].Inc()
 	now := f.now()
-	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started, Incarnation: a.Incarnation}
+	r := forwarding.ProbeResult{Outcome: outcome, Elapsed: now - started, Incarnation: a.Incarnation, Address: a.Target.Address, Answerer: answerer}
 	if outcome == forwarding.ConnectTimeout {
 		r.Reference = <-reference
 		// A late timer means that this process was stalled.
--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -27,6 +27,7 @@
 	clientPort uint16
 
 	recordSequence atomic.Uint64 // number of records written
+	startedAt      time.Time
 
 	mu       sync.Mutex
 	flows    map[netip.AddrPort]*serverFlow
@@ -62,7 +63,7 @@
 		conn.Close()
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Domain: domain, conn: conn, address: at, clientPort: clientPort, flows: make(map[netip.AddrPort]*serverFlow)}
+	s := &Server{ID: id, Service: service, Domain: domain, conn: conn, address: at, clientPort: clientPort, startedAt: time.Now(), flows: make(map[netip.AddrPort]*serverFlow)}
 	s.health = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", id) })}
 	go s.health.Serve(listener)
 	go s.serve()
@@ -122,7 +123,7 @@
 // Record returns the server's record for the platform's metadata store.
 func (s *Server) Record(state string) []byte {
 	b, _ := json.Marshal(map[string]any{"service": s.Service, "address": s.address.String(), "zone": s.Domain, "version": "v1",
-		"slots": 2, "state": state, "coldLeftMs": 0, "sequence": s.recordSequence.Add(1), "born": 1})
+		"slots": 2, "state": state, "coldLeftMs": 0, "sequence": s.recordSequence.Add(1), "born": s.startedAt.UnixMilli()})
 	return b
 }
 
