Ask at a known health path when an entry names a service without one

Change: a server without a health path is asked at that of another one with its address. A record with a service that no configuration has named is held back if its key is known. A claim is only kept over later records of the process while its own address is being asked.

--- a/forwarding/claims.go
+++ b/forwarding/claims.go
@@ -31,11 +31,12 @@
 func (s *server) claimsElsewhere() bool { return s.claim != nil && s.claim.Address != s.Address }
 
 // contradictedBy reports whether a record contradicts what is known about the server's process: it
-// was written before the known record or a claim, or it moves a process that is not known to be
-// down.
-func (s *server) contradictedBy(in *Server) bool {
-	return in.writtenBefore(&s.Server) || s.claim != nil && in.writtenBefore(&s.claim.Server) ||
-		s.listed && in.Address != s.Address && s.health.state <= suspected
+// was written before the known record or before a claim that is being asked about, it moves a
+// process that is not known to be down, or it names a service that no configuration has named.
+func (e *Engine) contradictedBy(s *server, in *Server) bool {
+	return in.writtenBefore(&s.Server) || s.claimsElsewhere() && in.writtenBefore(&s.claim.Server) ||
+		s.listed && in.Address != s.Address && s.health.state <= suspected ||
+		s.service.named && !e.service(in.Service).named
 }
 
 // holdClaim holds a record back. If it names another address, that address is asked. Of several
@@ -67,7 +68,7 @@
 	s.claim.nextAsk = now + downProbeInterval
 	t := s.target()
 	t.Address = s.claim.Address
-	return []Action{{Kind: Probe, Target: t, Server: s.Name, Path: s.service.healthPath, Incarnation: s.incarnation}}
+	return []Action{{Kind: Probe, Target: t, Server: s.Name, Path: e.healthPath(s), Incarnation: s.incarnation}}
 }
 
 // settleClaims applies the claims that no later record has replaced in time. A claim to another
@@ -165,6 +166,20 @@
 	return s.answeredAt == 0 && now-s.addressSince < claimLifetime
 }
 
+// healthPath returns the path at which the server's address says who it is. The record of another
+// writer may name a service without one; then a server that may have the address tells it.
+func (e *Engine) healthPath(s *server) string {
+	if s.service.healthPath != "" {
+		return s.service.healthPath
+	}
+	for _, o := range e.byAddress[s.Address] {
+		if o.service.healthPath != "" {
+			return o.service.healthPath
+		}
+	}
+	return ""
+}
+
 // applyAnswerer handles an answer of a server that was not the one asked.
 func (e *Engine) applyAnswerer(now time.Duration, at netip.AddrPort, name string, began time.Duration) []Action {
 	s := e.servers[name]
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -88,7 +88,8 @@
 	}
 	e.routes, e.version, e.configured = routes, c.Version, true
 	for name, path := range c.HealthPaths {
-		e.service(name).healthPath = path
+		s := e.service(name)
+		s.named, s.healthPath = true, path
 	}
 	e.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
@@ -101,6 +102,7 @@
 	r := &route{kind: in.Kind}
 	for _, w := range in.Services {
 		s := e.service(w.Service)
+		s.named = true
 		r.services = append(r.services, weightedService{s, w.Weight})
 		r.totalWeight += w.Weight
 		r.pastServices = append(r.pastServices, s)
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -252,11 +252,19 @@
 		return sameCookie[0], ByCookie
 	}
 	for _, s := range sameCookie {
-		if !historyKnown || r.allows(s.service) {
+		if r.allows(s.service) {
 			return s, ByCookie
 		}
 	}
-	return nil, OtherService
+	if historyKnown {
+		return nil, OtherService
+	}
+	for _, s := range sameCookie {
+		if s.service.named {
+			return s, ByCookie
+		}
+	}
+	return sameCookie[0], ByCookie
 }
 
 func (e *Engine) routeKind(k FlowKey) RouteKind {
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -179,7 +179,7 @@
 func (e *Engine) probe(s *server) []Action {
 	h := &s.health
 	h.probing = true
-	a := Action{Kind: Probe, Target: s.target(), Server: s.Name, Path: s.service.healthPath, Incarnation: s.incarnation}
+	a := Action{Kind: Probe, Target: s.target(), Server: s.Name, Path: e.healthPath(s), Incarnation: s.incarnation}
 	if h.state == unreachable || h.inconclusive {
 		a.Reference = e.referenceFor(s)
 	}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -44,6 +44,7 @@
 
 type service struct {
 	name              string
+	named             bool // a configuration has named it
 	healthPath        string
 	local, remote     []*server // listed servers of the own and of other failure domains
 	remoteLeastLoaded []*server // least loaded servers as reported by other domains
@@ -123,7 +124,7 @@
 		s = e.addServer(in)
 	case in.Revision < s.Revision || s.listed && s.claim == nil && in == s.Server:
 		return nil
-	case s.contradictedBy(&in):
+	case e.contradictedBy(s, &in):
 		return e.holdClaim(now, s, in)
 	}
 	return e.applyRecord(now, s, in)
--- a/forwarding/truth_test.go
+++ b/forwarding/truth_test.go
@@ -316,6 +316,9 @@
 		r := Server{Name: fmt.Sprint("x", n), ID: uint64(500 + n), Service: "orders", Domain: "a", Slots: 2, StartedAt: 1 << 40, Sequence: 1, Address: worldAddress(n)}
 		if rapid.Bool().Draw(t, "unknown service") {
 			r.Service = "agent"
+			if p != nil && rapid.Bool().Draw(t, "under its name") {
+				r.Name, r.ID = p.record.Name, p.record.ID
+			}
 		}
 		w.store(t, r)
 	case 6:
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -221,6 +222,31 @@
 	}
 }
 
+// Guards against resets of a living server's flows by an entry of another writer that names the
+// server's address or its key.
+func TestEntryOfAnotherWriterResetsNoFlow(t *testing.T) {
+	for name, test := range map[string]struct{ key, service string }{
+		"unknown service":                 {"i-a1", "inventory-agent"},
+		"service of the server":           {"i-a2", "orders"},
+		"unknown service under its key":   {"i-2", "inventory-agent"},
+		"its service, later, at its key":  {"i-2", "orders"},
+		"its ID under another key's name": {"x-2", "inventory-agent"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, pair, _, open := startRestartedPair(t)
+			living := d.servers["i-2"]
+			d.store.Put(wire.ServerPrefix+test.key, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"laval","slots":2,"state":"ready","sequence":1,"born":%d}`,
+				test.service, living.Address(), time.Now().UnixMilli())))
+			for _, i := range pair {
+				d.eventually("entry known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+test.key, test.service) })
+			}
+			d.checkFlowsOfLivingServer(pair, open)
+			d.store.Put(wire.ServerPrefix+"i-2", living.Record("ready"))
+			d.checkFlowsOfLivingServer(pair, open)
+		})
+	}
+}
+
 // Guards against new flows at a draining server.
 func TestDrainingServerGetsNoNewFlow(t *testing.T) {
 	d, a, b := startPair(t)
