Treat an unreadable server entry as removed

Callers saw: a server whose entry was overwritten with unreadable bytes and then removed still got new flows, on all instances, after it had left (DRAIN).

Cause: the unreadable value replaced the last readable one, and the removal, which carries the last value, was passed over because it could not be decoded. Ruled out, from the operators' report on odd entries: a process that ends or stops following. Twelve values (nesting, numbers, ports, types, names) leave watch, pushes, pulls and listings in force.

Change: such an entry counts as removed where the store's answer is read, so the table keeps the last readable value and the engine gets the removal.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -321,6 +321,61 @@
 	d.request(d.openFlow(b), b, "i-1:x")
 }
 
+// oddEntries are values that another writer may leave under a server's key.
+var oddEntries = map[string]string{
+	"deeply nested":        `{"service":` + strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000) + `}`,
+	"nested, cut off":      strings.Repeat(`{"a":`, 200_000),
+	"number too large":     `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":1e999,"state":"ready","born":9e99,"sequence":-1}`,
+	"integer too large":    `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":99999999999999999999999,"state":"ready"}`,
+	"port out of range":    `{"service":"orders","address":"127.0.3.1:99999","zone":"laval","slots":2,"state":"ready"}`,
+	"port below range":     `{"service":"orders","address":"127.0.3.1:-1","zone":"laval","slots":2,"state":"ready"}`,
+	"other types":          `{"service":["orders"],"address":7,"zone":{},"slots":"2","state":null}`,
+	"state not named":      `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"` + strings.Repeat("x", 100_000) + `"}`,
+	"name of 100,000 byte": `{"service":"` + strings.Repeat("s", 100_000) + `","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"ready"}`,
+	"no text":              "\x00\xff\xfe",
+	"no object":            `[1,2,3]`,
+	"nothing":              "",
+}
+
+// Guards against instances that end, or stop following the store, because of one odd entry among
+// those of the servers, and against new flows at a server whose entry turns unreadable and is then
+// removed.
+func TestOddEntriesLeaveTheOthersInForce(t *testing.T) {
+	d, a, b := startPair(t)
+	n := 0
+	for name, value := range oddEntries {
+		n++
+		d.store.Put(fmt.Sprintf("%si-%x", wire.ServerPrefix, 0xa0+n), []byte(value))
+		key := fmt.Sprint("i-", 10+n)
+		server := d.startServer(key, "orders", "laval", 10+n)
+		for _, i := range []*instance{a, b} {
+			d.eventually(name+": server after the entry", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+key, "ready") })
+		}
+		d.store.Put(wire.ServerPrefix+key, []byte(value))
+		d.store.Remove(wire.ServerPrefix + key)
+		if n%2 == 0 { // each change in a batch of its own
+			continue
+		}
+		d.store.Put(wire.ServerPrefix+key, server.Record("ready"))
+		for _, i := range []*instance{a, b} {
+			d.eventually(name+": record is back", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+key, "ready") })
+		}
+		d.store.Put(wire.ServerPrefix+key, []byte(value))
+		time.Sleep(2 * maxBatchDelay)
+		d.store.Remove(wire.ServerPrefix + key)
+	}
+	time.Sleep(configurationBound)
+	c := d.startInstance("c", "levis", 3)
+	d.eventually("ready from a listing with odd entries", testTimeout, func() bool { return d.ready(c) })
+	d.configure("orders")
+	d.eventually("version after the entries", configurationBound, func() bool { return a.version() == 2 && b.version() == 2 && c.version() == 2 })
+	for range 60 {
+		for _, i := range []*instance{a, b, c} {
+			d.request(d.openFlow(i), i, "i-1:x")
+		}
+	}
+}
+
 // Guards against records that are lost or reappear when the store drops its change history.
 func TestDroppedHistory(t *testing.T) {
 	d, a, b := startPair(t)
--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -13,15 +13,23 @@
 )
 
 // toRecords converts the items of a response with the revision asOf. All revisions in it are of
-// the era that the response names.
-func toRecords(items []kv.Item, era, asOf uint64) ([]directory.Record, directory.Position, error) {
+// the era that the response names. A server's entry that cannot be decoded names no server and
+// counts as removed, so that the last value that could be is kept.
+func (f *Forwarder) toRecords(items []kv.Item, era, asOf uint64) ([]directory.Record, directory.Position, error) {
 	records := make([]directory.Record, 0, len(items))
 	for _, i := range items {
 		at, ok := directory.NewPosition(era, i.Revision)
 		if !ok {
 			return nil, 0, result.Errorf(result.StoreMalformed, "key %s: revision %d of era %d is out of range", i.Key, i.Revision, era)
 		}
-		records = append(records, directory.Record{Key: i.Key, Value: i.Value, Revision: at, Removed: i.Removed})
+		r := directory.Record{Key: i.Key, Value: i.Value, Revision: at, Removed: i.Removed}
+		if strings.HasPrefix(r.Key, wire.ServerPrefix) && !r.Removed {
+			if _, err := wire.DecodeServer(r.Key, r.Value, 0); err != nil {
+				f.events.newEvent(zerolog.WarnLevel).Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
+				r.Value, r.Removed = nil, true
+			}
+		}
+		records = append(records, r)
 	}
 	at, ok := directory.NewPosition(era, asOf)
 	if !ok {
@@ -75,7 +83,7 @@
 	}
 	s, err := wire.DecodeServer(r.Key, r.Value, uint64(r.Revision))
 	if err != nil {
-		f.log.Warn().Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
+		f.events.newEvent(zerolog.WarnLevel).Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
 		return
 	}
 	s.Unconfirmed = r.Unconfirmed
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -287,7 +287,7 @@
 			if err != nil {
 				return err
 			}
-			items, pageAsOf, err := toRecords(page.Items, page.Era, page.AsOf)
+			items, pageAsOf, err := f.toRecords(page.Items, page.Era, page.AsOf)
 			switch {
 			case err != nil:
 				return err
@@ -323,7 +323,7 @@
 	if err != nil {
 		return err
 	}
-	records, asOf, err := toRecords(events.Events, events.Era, events.AsOf)
+	records, asOf, err := f.toRecords(events.Events, events.Era, events.AsOf)
 	if err != nil {
 		return err
 	}
