Soak: late writes, entries of other writers, planned exits and restarts in place

New faults: up to three earlier writes of servers are executed late; another writer leaves an entry with a server's address or key, or one that cannot be read, which may then be removed; a server restarts at its address under its ID, a new one or as one of the other service; a drained server stops listening and answers its last requests. A third of the flows are kept for up to 60 requests with pauses, a quarter of the faults follow without one, and a reset is judged by the moment at which it arrived. MONSOONTHREAD_SOAK_INSTANCES sets the size.

The second octet of all addresses now comes from the seed.

--- a/internal/standin/flows/client.go
+++ b/internal/standin/flows/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,7 @@
 	cookie   uint32
 	sequence uint32
 	ack      uint32
+	resetAt  atomic.Int64 // when the first reset arrived, in Unix nanoseconds; 0 without one
 }
 
 // StartClient starts a client that listens at an address. Its port must be the one to which
@@ -69,6 +71,9 @@
 		f := c.flows[p.Destination.Port()]
 		c.mu.Unlock()
 		if f != nil {
+			if p.Flags&RST != 0 {
+				f.resetAt.CompareAndSwap(0, time.Now().UnixNano())
+			}
 			select {
 			case f.received <- p:
 			default: // dropped, as a datagram is when a socket buffer is full
@@ -98,6 +103,9 @@
 // Cookie returns the cookie that the packets of the flow carry.
 func (f *Flow) Cookie() uint32 { return f.cookie }
 
+// ResetAt returns when the first reset of the flow arrived.
+func (f *Flow) ResetAt() time.Time { return time.Unix(0, f.resetAt.Load()) }
+
 // Key returns the identifier of the flow that log events contain.
 func (f *Flow) Key() string { return f.local.String() + ">" + f.service.String() }
 
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -56,7 +56,11 @@
 
 func (d *deployment) runFlow(ctx context.Context, f *flows.Flow, n int, rng *rand.Rand) {
 	s := d.serverForFlow(f)
-	for range 1 + rng.IntN(8) {
+	requests, pause := 1+rng.IntN(8), 200
+	if rng.IntN(3) == 0 { // a flow that clients keep, with pauses, until its server has ended
+		requests, pause = 60, 700
+	}
+	for range requests {
 		in := d.instanceForFlow(n)
 		if in == nil || ctx.Err() != nil {
 			break
@@ -72,39 +76,42 @@
 		case errors.Is(err, flows.ErrResetByForwarder):
 			// A flow must not be reset while its server is running, regardless of other
 			// faults.
-			if s != nil && s.alive() {
+			if s != nil && s.aliveAt(f.ResetAt()) {
 				d.recordViolation("%s reset a flow of server %s, which is running", in.name, s.ID)
 			}
 			return
-		case errors.Is(err, flows.ErrResetByServer) && s != nil && s.alive():
+		case errors.Is(err, flows.ErrResetByServer) && s != nil && s.aliveAt(f.ResetAt()):
 			d.recordViolation("a packet of a flow of server %s was delivered to another server by %s", s.ID, in.name)
 			return
 		case err != nil:
 			return
 		}
-		time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+		time.Sleep(time.Duration(rng.IntN(pause)) * time.Millisecond)
 	}
 	if in := d.instanceForFlow(n); in != nil {
 		f.Close(in.datagramAddr())
 	}
 }
 
-// serverForFlow returns the server whose cookie the flow carries, or nil if there is none.
+// serverForFlow returns the running server whose cookie a new flow carries, or nil if there is none.
 func (d *deployment) serverForFlow(f *flows.Flow) *server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.servers {
-		if n, err := strconv.ParseUint(strings.TrimPrefix(s.ID, "i-"), 16, 64); err == nil && uint32(n) == f.Cookie() {
+		if n, err := strconv.ParseUint(strings.TrimPrefix(s.ID, "i-"), 16, 64); err == nil && uint32(n) == f.Cookie() && s.alive() {
 			return s
 		}
 	}
 	return nil
 }
 
-func (s *server) alive() bool {
+func (s *server) alive() bool { return s.aliveAt(time.Now()) }
+
+// aliveAt reports whether the server's process had not ended at a time.
+func (s *server) aliveAt(t time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stoppedAt.IsZero()
+	return s.stoppedAt.IsZero() || t.Before(s.stoppedAt)
 }
 
 // checkNewFlow checks that a server only receives new flows for its own service, and none
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -47,7 +47,8 @@
 )
 
 // First address of each address range. Every instance, server and client has its own
-// address and all instances use the same ports, as on the production platform.
+// address and all instances use the same ports, as on the production platform. The second octet
+// comes from the run's seed, so that runs at the same time do not take each other's ports.
 var (
 	firstInstanceAddr = netip.MustParseAddr("127.1.2.1")
 	firstPeerLinkAddr = netip.MustParseAddr("127.1.6.1") // addresses of the links to the instances' peer ports
@@ -62,10 +63,11 @@
 	catalogueAddr = netip.MustParseAddrPort("198.18.0.2:8443")
 )
 
-// nthAddr returns the n-th address after base. Last octets are 1 to 249 and 251; the
-// others are not used.
-func nthAddr(base netip.Addr, n int) netip.Addr {
+// nthAddr returns the n-th address after base in the run's network. Last octets are 1 to 249 and
+// 251; the others are not used.
+func (d *deployment) nthAddr(base netip.Addr, n int) netip.Addr {
 	b := base.As4()
+	b[1] = byte(1 + d.options.Seed%250)
 	n += int(b[3])
 	b[2] += byte(n / 250)
 	b[3] = byte(n % 250)
@@ -108,7 +110,23 @@
 	*flows.Server
 	mu        sync.Mutex // protects the fields below
 	drainedAt time.Time  // when the store recorded that it is draining
-	stoppedAt time.Time
+	stoppedAt time.Time  // when its process ended
+	records   [][]byte   // what it has written into the store
+}
+
+func (s *server) key() string { return wire.ServerPrefix + s.ID }
+
+// write writes the server's record into the store.
+func (s *server) write(store *metastore.Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := "ready"
+	if !s.drainedAt.IsZero() {
+		state = "draining"
+	}
+	record := s.Record(state)
+	s.records = append(s.records, record)
+	store.Put(s.key(), record)
 }
 
 // instance is an entry instance.
@@ -135,7 +153,7 @@
 	d.cleanups = append(d.cleanups, server.Close)
 	d.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	for i := range d.ports {
-		l, err := net.Listen("tcp4", net.JoinHostPort(firstInstanceAddr.String(), "0"))
+		l, err := net.Listen("tcp4", net.JoinHostPort(d.nthAddr(firstInstanceAddr, 0).String(), "0"))
 		if err != nil {
 			return d, err
 		}
@@ -184,39 +202,48 @@
 	d.acceptedAt = time.Now()
 }
 
+// addServer starts a backend server at an address of its own.
 func (d *deployment) addServer(service string, domain int) {
 	d.mu.Lock()
 	d.nextID++
-	id := fmt.Sprintf("i-%08x", d.nextID)
-	addr := netip.AddrPortFrom(nthAddr(firstServerAddr, d.nextID), d.ports[0])
+	n := d.nextID
 	d.mu.Unlock()
-	host, err := flows.StartServer(id, service, fmt.Sprint("d", domain), addr, d.ports[0])
+	d.startServer(fmt.Sprintf("i-%08x", n), service, fmt.Sprint("d", domain), netip.AddrPortFrom(d.nthAddr(firstServerAddr, n), d.ports[0]))
+}
+
+// serverWork is the time that servers need for a request, by the last digit of their address.
+var serverWork = []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
+func (d *deployment) startServer(id, service, domain string, addr netip.AddrPort) {
+	host, err := flows.StartServer(id, service, domain, addr, d.ports[0])
 	if err != nil {
 		d.recordViolation("start backend server stand-in: %v", err)
 		return
 	}
+	b := addr.Addr().As4()
+	host.SetWork(serverWork[int(b[3])%len(serverWork)])
 	s := &server{Server: host}
 	host.OnOpen(func(via netip.Addr, to netip.AddrPort) { d.checkNewFlow(s, via, to) })
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	d.store.Put(wire.ServerPrefix+id, host.Record("ready"))
+	s.write(d.store)
 }
 
 func (d *deployment) addInstance(index int) error {
-	in := &instance{deployment: d, name: fmt.Sprint("front-", index), index: index, ip: nthAddr(firstInstanceAddr, index)}
+	in := &instance{deployment: d, name: fmt.Sprint("front-", index), index: index, ip: d.nthAddr(firstInstanceAddr, index)}
 	addrAt := func(i int) netip.AddrPort { return netip.AddrPortFrom(in.ip, d.ports[i]) }
 	var err error
 	if in.storeLink, err = newLink("127.0.0.1:0", d.storeAddr, false); err != nil {
 		return err
 	}
 	d.cleanups = append(d.cleanups, in.storeLink.close)
-	if in.peerLink, err = newLink(netip.AddrPortFrom(nthAddr(firstPeerLinkAddr, index), d.ports[2]).String(), addrAt(2), true); err != nil {
+	if in.peerLink, err = newLink(netip.AddrPortFrom(d.nthAddr(firstPeerLinkAddr, index), d.ports[2]).String(), addrAt(2), true); err != nil {
 		return err
 	}
 	d.cleanups = append(d.cleanups, in.peerLink.close)
 	settings := fmt.Sprintf("instance-id=%s\nfailure-domain=d%d\ndatagram-address=%s\nready-address=%s\npeer-address=%s\nadvertised-peer-address=%s\nseeds=%s:1,%s:1\nstore-address=%s\n",
-		in.name, in.domain(), addrAt(0), addrAt(1), addrAt(2), in.peerLink.address(), firstPeerLinkAddr, nthAddr(firstPeerLinkAddr, 2), in.storeLink.address())
+		in.name, in.domain(), addrAt(0), addrAt(1), addrAt(2), in.peerLink.address(), d.nthAddr(firstPeerLinkAddr, 0), d.nthAddr(firstPeerLinkAddr, 2), in.storeLink.address())
 	file := filepath.Join(d.options.Dir, in.name+".conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -42,9 +40,11 @@
 	{"configuration", func(d *deployment, _ *instance) { d.acceptNextVersion() }},
 	{"server drained", func(d *deployment, _ *instance) { d.drainRandomServer() }},
 	{"server crashed", func(d *deployment, _ *instance) { d.crashRandomServer() }},
-	{"malformed entry", func(d *deployment, _ *instance) {
-		d.store.Put(wire.ServerPrefix+fmt.Sprintf("i-%08x", 0xff000000+d.rng.IntN(9)), []byte(`{"service":"orders","address":7}`))
-	}},
+	{"server restarted", func(d *deployment, _ *instance) { d.restartRandomServer() }},
+	{"late writes", func(d *deployment, _ *instance) { d.writeLate() }},
+	{"late writes", func(d *deployment, _ *instance) { d.writeLate() }},
+	{"entry of another writer", func(d *deployment, _ *instance) { d.writeForeignEntry() }},
+	{"malformed entry", func(d *deployment, _ *instance) { d.writeMalformedEntry() }},
 	{"peers not heard", func(d *deployment, in *instance) {
 		in.peerLink.stalled.Store(true)
 		d.endFault("peer link stalled "+in.name, d.randomDuration(4000), func() { in.peerLink.stalled.Store(false) })
@@ -171,17 +171,11 @@
 	}
 	for _, s := range d.servers {
 		s.mu.Lock()
-		key, state := wire.ServerPrefix+s.ID, "ready"
-		if !s.drainedAt.IsZero() {
-			state = "draining"
-		}
-		switch {
-		case !s.stoppedAt.IsZero():
-			time.AfterFunc(2*time.Second, func() { d.store.Remove(key) })
-		case !bytes.Contains(d.store.Value(key), []byte(strconv.Quote(state))):
-			d.store.Put(key, s.Record(state))
-		}
+		stopped := !s.stoppedAt.IsZero()
 		s.mu.Unlock()
+		if stopped {
+			d.lapse(s.key(), 2*time.Second)
+		}
 	}
 }
 
@@ -215,14 +209,13 @@
 		return
 	}
 	d.addServer(s.Service, d.rng.IntN(domainCount))
-	d.store.Put(wire.ServerPrefix+s.ID, s.Record("draining"))
 	s.mu.Lock()
 	s.drainedAt = time.Now()
 	s.mu.Unlock()
-	time.AfterFunc(maxPropagationDelay+2*time.Second, func() {
-		s.stop()
-		d.store.Remove(wire.ServerPrefix + s.ID)
-	})
+	s.write(d.store)
+	leaves := maxPropagationDelay + 200*time.Millisecond + d.randomDuration(2500)
+	time.AfterFunc(leaves, s.leave)
+	time.AfterFunc(leaves+d.randomDuration(600), func() { d.store.Remove(s.key()) })
 }
 
 // crashRandomServer stops a server without notice and adds a replacement. The record of
@@ -234,7 +227,7 @@
 	}
 	s.stop()
 	service := s.Service
-	time.AfterFunc(2*time.Second, func() { d.store.Remove(wire.ServerPrefix + s.ID) })
+	d.lapse(s.key(), 2*time.Second)
 	d.addServer(service, d.rng.IntN(domainCount))
 }
 
@@ -245,6 +238,14 @@
 	s.Stop()
 }
 
+// leave ends a draining server, which answers its last requests first.
+func (s *server) leave() {
+	s.Leave()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stoppedAt = time.Now()
+}
+
 // clearFaults ends all active store and link faults, prevents pending restores and resumes paused
 // processes.
 func (d *deployment) clearFaults() {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -62,7 +62,7 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	for i := range o.Clients {
-		c, err := flows.StartClient(netip.AddrPortFrom(nthAddr(firstClientAddr, i), d.ports[0]))
+		c, err := flows.StartClient(netip.AddrPortFrom(d.nthAddr(firstClientAddr, i), d.ports[0]))
 		if err != nil {
 			return Result{}, err
 		}
@@ -71,6 +71,7 @@
 		workers.Go(func() { d.runClient(ctx, c, rng) })
 	}
 	workers.Go(func() { d.watchVersions(ctx) })
+	workers.Go(func() { d.runHeartbeats(ctx) })
 	workers.Go(func() { d.reportProgress(ctx, start) })
 	if err := d.waitReady(ctx); err != nil {
 		cancel()
@@ -78,7 +79,9 @@
 	}
 	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		d.injectFault()
-		time.Sleep(d.randomDuration(500))
+		if d.rng.IntN(4) > 0 { // else the next one comes at once
+			time.Sleep(d.randomDuration(500))
+		}
 	}
 	d.clearFaults()
 	d.checkTakeover()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,13 +4,15 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 )
 
 // TestSoak guards against invariant violations under random faults that overlap and
 // follow each other quickly. For manual runs, MONSOONTHREAD_SOAK_SEEDS sets a range of
-// seeds (first-last) and MONSOONTHREAD_SOAK_FOR sets how long faults are injected.
+// seeds (first-last), MONSOONTHREAD_SOAK_FOR sets how long faults are injected, and
+// MONSOONTHREAD_SOAK_INSTANCES sets the number of processes in each of the three failure domains.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "monsoonthread-forwarder")
 	if err := BuildForwarder(binary); err != nil {
@@ -29,12 +31,19 @@
 			t.Fatal(err)
 		}
 	}
+	instances := 2
+	if text := os.Getenv("MONSOONTHREAD_SOAK_INSTANCES"); text != "" {
+		var err error
+		if instances, err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
+	}
 	for seed := first; seed <= last; seed++ {
-		runSeed(t, binary, seed, faultDuration)
+		runSeed(t, binary, seed, faultDuration, instances)
 	}
 	if byHand == "" {
 		for _, r := range regressions {
-			runSeed(t, binary, r.seed, r.faultDuration)
+			runSeed(t, binary, r.seed, r.faultDuration, 2)
 		}
 	}
 }
@@ -47,13 +56,13 @@
 	{2019, 12 * time.Second}, // the run restored the store after it had ended all faults
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, faultDuration time.Duration) {
+func runSeed(t *testing.T, binary string, seed uint64, faultDuration time.Duration, instances int) {
 	t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-		r, err := Run(t.Context(), Options{ForwarderPath: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: faultDuration, InstancesPerDomain: 2, Clients: 12})
+		r, err := Run(t.Context(), Options{ForwarderPath: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: faultDuration, InstancesPerDomain: instances, Clients: 12})
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("seed %d: %d of %d requests served, version %d, %d servers", seed, r.RequestsServed, r.RequestsTried, r.Version, r.Servers)
+		t.Logf("seed %d: %d of %d requests served, version %d, %d servers, faults %v", seed, r.RequestsServed, r.RequestsTried, r.Version, r.Servers, r.FaultCounts)
 		for _, v := range r.Violations {
 			t.Error(v)
 		}
