--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -376,6 +376,25 @@
 	}
 }
 
+// Guards against a watch that is repeated until the store drops its history: the versions that were
+// written while the store did not answer do not fit into one response.
+func TestChangesTooLargeForOneResponse(t *testing.T) {
+	d, a, b := startPair(t)
+	d.store.SetFault(metastore.NoResponse)
+	padding := strings.Repeat("x", 600_000)
+	for range 20 {
+		d.configure("orders")
+		value := d.store.Value(wire.ConfigurationKey)
+		d.store.Put(wire.ConfigurationKey, append(value[:len(value)-1], `,"padding":"`+padding+`"}`...))
+	}
+	time.Sleep(time.Second)
+	d.store.SetFault(metastore.NoFault)
+	want := uint64(d.version)
+	d.eventually("last version", 2*configurationBound, func() bool { return a.version() == want && b.version() == want })
+	f := d.openFlow(a)
+	d.request(f, a, "i-1:x")
+}
+
 // Guards against records that are lost or reappear when the store drops its change history.
 func TestDroppedHistory(t *testing.T) {
 	d, a, b := startPair(t)
