Apply a claim to another address on a refusal only if it is the later record

A server that leaves stops listening; if the store had just executed a write of an earlier process at another address late, the refusal moved the server, and the last packets of its open flows, there.

Change: only a record that was written after the one in force says where a process has moved. A server without a record whose flows are kept is probed at most once a second. State 'unproven' in the list of servers.

The scripts' other changes are the addresses that are printed now.

--- a/forwarding/claims.go
+++ b/forwarding/claims.go
@@ -30,6 +30,10 @@
 // claimsElsewhere reports whether the claim names another address than the server's.
 func (s *server) claimsElsewhere() bool { return s.claim != nil && s.claim.Address != s.Address }
 
+// hasMoved reports whether a later record than the one in force names another address. Once the
+// server's own address does not answer for it any more, its process is there.
+func (s *server) hasMoved() bool { return s.claimsElsewhere() && s.writtenBefore(&s.claim.Server) }
+
 // contradictedBy reports whether a record contradicts what is known about the server's process: it
 // was written before the known record or before a claim that is being asked about, it moves a
 // process that is not known to be down, or it names a service that no configuration has named.
@@ -146,7 +150,7 @@
 	switch {
 	case s.changedSince(began):
 		return e.suspect(now, s)
-	case s.claimsElsewhere():
+	case s.hasMoved():
 		return e.applyClaim(now, s)
 	case e.mayBeElsewhere(now, s):
 		return e.keepFlows(now, s)
--- a/forwarding/ended.go
+++ b/forwarding/ended.go
@@ -29,7 +29,7 @@
 // applyRefusal handles a refused connection of a probe that began at a time.
 func (e *Engine) applyRefusal(now time.Duration, s *server, began time.Duration) []Action {
 	switch {
-	case s.claimsElsewhere():
+	case s.hasMoved():
 		return e.applyClaim(now, s)
 	case s.health.state == dead || !e.mayBeLeaving(now, s) && !e.mayBeElsewhere(now, s) && s.answeredAt <= began:
 		return e.declareDead(now, s)
@@ -59,7 +59,7 @@
 	}
 	h.nextProbe = now + downProbeInterval
 	if !s.listed {
-		h.nextProbe = leavingUntil
+		h.nextProbe = max(h.nextProbe, leavingUntil)
 	}
 	return actions
 }
--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -191,6 +191,9 @@
 
 func describe(d Decision) string {
 	if d.Verdict == Forward {
+		if host := d.Target.Address.Addr().As4()[3]; uint64(host) != d.Target.ID {
+			return fmt.Sprintf("%s to %d at %d", d.Reason, d.Target.ID, host)
+		}
 		return fmt.Sprintf("%s to %d", d.Reason, d.Target.ID)
 	}
 	return d.Reason.String()
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -51,7 +51,7 @@
 }
 
 // ServerStates lists the possible values of ServerView.State.
-var ServerStates = []string{"trusted", "cold", "failing", "suspected", "shadowed", "draining", "unreachable", "refusing", "gone", "dead"}
+var ServerStates = []string{"trusted", "cold", "failing", "suspected", "unproven", "shadowed", "draining", "unreachable", "refusing", "gone", "dead"}
 
 // describeState returns the server's state, one of ServerStates, and the reason for it.
 func (s *server) describeState(now time.Duration) (state, reason string) {
@@ -71,6 +71,8 @@
 		return "draining", "its record says so"
 	case s.shadowed:
 		return "shadowed", "another server has the same cookie"
+	case s.unproven:
+		return "unproven", "its record contradicts another one or may be old; it has not answered yet"
 	case h.state == suspected:
 		return "suspected", "packets stay without an answer; a probe is under way"
 	case s.failing(now):
