Show no older state when a stream moves to another backend server

The new server answers the registration, the previous one sends a later state, the owner handles that one first and then forwards the answer with a higher number.

Change: if the previous server has sent a state since the registration was sent, its answer is not forwarded; the new server is asked again, and its notifications wait for that answer, which is later than all that was shown.

--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/caller"
+	"github.com/monsoonthread/monsoonthread/config"
+	"github.com/monsoonthread/monsoonthread/edge"
 	"github.com/monsoonthread/monsoonthread/internal/standin/backendserver"
 	"github.com/monsoonthread/monsoonthread/internal/standin/fabric"
 	"github.com/monsoonthread/monsoonthread/result"
@@ -243,6 +245,50 @@
 	}
 }
 
+// Guards against a stream that shows an older state after a newer one: it moves to a server whose
+// answer to the registration is older than a notification that the previous one sent meanwhile.
+func TestMovedStreamShowsNoOlderState(t *testing.T) {
+	d := newDeployment(t)
+	d.start("entry-0", "laval", 100)
+	d.waitReady()
+	streams := d.openStreams(1)
+	in := d.instances["entry-0"]
+	var st *stream
+	in.streams.mu.Lock()
+	for _, st = range in.streams.byID {
+	}
+	in.streams.mu.Unlock()
+	for round := range 4 {
+		st.mu.Lock()
+		current, sentAt := st.server, st.updates
+		st.sentUpdates = sentAt
+		st.mu.Unlock()
+		var next config.BackendServer
+		for _, s := range d.config.Services[0].BackendServers {
+			if s.Name != current {
+				next = s
+			}
+		}
+		m, err := edge.Decode(st.request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		token, answer := in.backends.reserveToken(), make(chan *edge.Message, 1)
+		in.backends.observe(st, next, m.Clone(), token, func(m *edge.Message) { answer <- m })
+		first := <-answer
+		d.eventually(5*time.Second, "two newer states", func() bool { st.mu.Lock(); defer st.mu.Unlock(); return st.updates >= sentAt+2 })
+		in.streams.handleRegistrationAnswer(st, next, token, first)
+		d.eventually(5*time.Second, fmt.Sprintf("states after move %d", round), func() bool {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			return !st.settling && st.updates >= sentAt+4
+		})
+	}
+	if err := streams[0].Err(); err != nil {
+		t.Errorf("stream ended: %v", err)
+	}
+}
+
 // Guards against streams of unreachable callers that occupy connections of backend
 // servers forever. This happened when each new notification restarted the
 // retransmission timeout.
--- a/internal/daemon/notifications.go
+++ b/internal/daemon/notifications.go
@@ -17,9 +17,13 @@
 	if current && !stale && observes {
 		st.serverSeq = seq
 	}
+	waits := current && !stale && observes && st.settling && m.Code.IsSuccess()
+	if waits {
+		st.held = m
+	}
 	st.mu.Unlock()
 	switch {
-	case !current || stale:
+	case !current || stale || waits:
 		return
 	case m.Code == edge.ServiceUnavailable:
 		// The server ended the observation, for instance because it drains.
@@ -51,6 +55,7 @@
 		st.mu.Unlock()
 		return
 	}
+	st.updates++
 	millis := timeline.Millis(d.clock.Now())
 	if seq, ok := d.flows.Notify(st.id, millis); ok && st.handoverDeadline.IsZero() {
 		st.sequence = seq
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -48,9 +48,13 @@
 	server          string // backend server that feeds the stream, or ""
 	serverToken     uint64
 	serverSeq       uint32
-	candidate       string   // backend server with a registration in progress
-	tried           []string // backend servers that refused since the last successful registration
-	preferredServer string   // backend server used by the previous owner
+	candidate       string        // backend server with a registration in progress
+	updates         int           // states sent to the caller
+	sentUpdates     int           // updates when the registration in progress was sent
+	settling        bool          // the present server is asked again, since its first answer may be old
+	held            *edge.Message // last notification while settling
+	tried           []string      // backend servers that refused since the last successful registration
+	preferredServer string        // backend server used by the previous owner
 	retryAt         time.Time
 
 	registration  *packet // caller's registration that is not answered yet
@@ -211,6 +215,9 @@
 		return
 	}
 	m = m.Clone()
+	st.mu.Lock()
+	st.sentUpdates = st.updates
+	st.mu.Unlock()
 	sent := t.daemon.backends.observe(st, server, m, token, func(answer *edge.Message) { t.handleRegistrationAnswer(st, server, token, answer) })
 	if !sent {
 		t.handleRegistrationAnswer(st, server, token, nil)
@@ -247,7 +254,9 @@
 }
 
 // switchServer makes a backend server the stream's source and then cancels the
-// observation at the previous one, so that no notification is lost.
+// observation at the previous one, so that no notification is lost. If the previous one has sent a
+// state since the registration was sent, the answer to it may be older than that; the server is
+// then asked again, and its notifications wait for that answer.
 func (t *streamTable) switchServer(st *stream, server config.BackendServer, token uint64, first *edge.Message) {
 	d := t.daemon
 	st.mu.Lock()
@@ -258,13 +267,30 @@
 	confirm := st.previousOwner
 	st.previousOwner = ""
 	ended, id := st.ended, st.id
+	held := st.held
+	st.settling, st.held = oldToken != token && st.updates != st.sentUpdates, nil
+	settling := st.settling
+	if held != nil && !settling {
+		if seq, _ := held.Observe(); newer(seq, st.serverSeq) {
+			st.serverSeq = seq
+		} else {
+			held = nil
+		}
+	}
 	st.mu.Unlock()
 	if ended {
 		t.unobserve(st, server.Name, token)
 		return
 	}
 	d.flows.SetServer(id, server.Name, t.isException(st, server.Name))
-	t.forward(st, first)
+	if settling {
+		defer t.register(st, server, token)
+	} else {
+		t.forward(st, first)
+		if held != nil {
+			t.forward(st, held)
+		}
+	}
 	if oldToken != 0 && oldToken != token {
 		d.metrics.streamMoves.Inc()
 		t.unobserve(st, oldServer, oldToken)
