Soak: a paused process is not settled

Finding the watchers among 180 instances took over a second, so that the pause lasted 5.1 to 5.6 s, longer than the 4 s after which an instance counts as settled again. A process between SIGSTOP and SIGCONT now never does.

--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -143,6 +143,7 @@
 	lastFault      time.Time // last process start, signal or store link fault
 	highestVersion uint64    // highest version seen since the process started
 	stopping       bool      // received SIGTERM and has not been restarted yet
+	paused         bool      // received SIGSTOP and no SIGCONT since
 }
 
 func (in *instance) domain() int { return in.index % domainCount }
@@ -271,7 +272,7 @@
 			cmd := exec.Command(in.deployment.options.ForwarderPath, "--settings-file", file)
 			cmd.Stdout, cmd.Stderr = out, out
 			in.mu.Lock()
-			in.highestVersion, in.stopping = 0, false
+			in.highestVersion, in.stopping, in.paused = 0, false, false
 			in.lastFault = time.Now()
 			err := cmd.Start()
 			in.cmd = cmd
@@ -293,8 +294,13 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.lastFault = time.Now()
-	if s == syscall.SIGTERM {
+	switch s {
+	case syscall.SIGTERM:
 		in.stopping = true
+	case syscall.SIGSTOP:
+		in.paused = true
+	case syscall.SIGCONT:
+		in.paused = false
 	}
 	if in.cmd != nil && in.cmd.Process != nil {
 		in.cmd.Process.Signal(s)
@@ -309,11 +315,14 @@
 }
 
 // settled reports whether the instance and the store have been free of faults for
-// settleTime, so that time limits apply to the instance.
+// settleTime, so that time limits apply to the instance. A paused process is not.
 func (in *instance) settled() bool {
 	in.mu.Lock()
-	lastFault := in.lastFault
+	lastFault, paused := in.lastFault, in.paused
 	in.mu.Unlock()
+	if paused {
+		return false
+	}
 	in.deployment.mu.Lock()
 	defer in.deployment.mu.Unlock()
 	return time.Since(lastFault) > settleTime && time.Since(in.deployment.lastStoreFault) > settleTime
