Read priorities, objectives, limits and evacuations; hooks for their decisions

Cause: the configuration's route priorities, objectives and timeouts, the services' connection and cold start limits, and the operators' evacuation records were not read, so no decision could depend on them.

A stale listing covers everything that operators write, in the same call that read the configuration before. Selection skips servers in evacuated failure domains on every path. Slow start, connection limits and admission are hooks without effect yet.

Result: go test ./forwarding ./platform/... ./peer/exchange ./internal/forwarder ./internal/ctl passes.

--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -66,18 +66,34 @@
 			}
 		}
 	}
+	// All eligible servers are at their limit of open flows. The count is an estimate, and the
+	// server itself decides.
+	for _, servers := range [][]*server{svc.local, svc.remote} {
+		if s, _ := e.leastLoaded(now, servers, (*server).usableBeyondLimit); s != nil {
+			return s
+		}
+	}
 	return nil
 }
 
+// accepts reports whether new flows may go to the server as far as evacuations and its slow start
+// are concerned. Nothing else overrides it.
+func (e *Engine) accepts(now time.Duration, s *server) bool {
+	return !e.isEvacuated(s) && e.allowsColdStart(now, s)
+}
+
 // usableLeastLoaded reports whether the server is usable and currently among the least loaded
 // servers that its failure domain reports.
 func (s *server) usableLeastLoaded(now time.Duration) bool {
-	return now < s.leastLoadedUntil && s.usable()
+	return now < s.leastLoadedUntil && s.usable() && !s.full()
 }
 
 // usableAt reports whether the server is usable. It has the signature of the filters of
 // leastLoaded.
-func (s *server) usableAt(time.Duration) bool { return s.usable() }
+func (s *server) usableAt(time.Duration) bool { return s.usable() && !s.full() }
+
+// usableBeyondLimit reports whether the server is usable apart from its limit of open flows.
+func (s *server) usableBeyondLimit(time.Duration) bool { return s.usable() }
 
 // leastLoaded returns the least loaded server, and its utilization, of a sample of those that
 // pass the filter. The sample starts at a random position.
@@ -92,7 +108,7 @@
 	seen := 0
 	for i := 0; i < n && seen < sampleSize; i++ {
 		s := servers[(start+i)%n]
-		if !usable(s, now) {
+		if !usable(s, now) || !e.accepts(now, s) {
 			continue
 		}
 		seen++
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -24,14 +24,28 @@
 	Port     uint16
 	Kind     RouteKind
 	Services []ServiceWeight
+
+	Priority  int           // 0 is the most urgent; meaningful only if Prioritised
+	Objective time.Duration // response time that callers need; 0 if unknown
+	Timeout   time.Duration // after which callers give up; 0 if unknown
+	// Prioritised reports whether the configuration gives the route a priority.
+	Prioritised bool
+}
+
+// ServiceLimits are the limits of each backend server of a service.
+type ServiceLimits struct {
+	MaxFlows  int           // open flows; 0 for no limit
+	ColdStart time.Duration // how long a server is cold after its process has started; 0 if unknown
+	ColdRate  float64       // requests per second that a cold server bears
 }
 
 // Configuration is one version of the operators' configuration.
 type Configuration struct {
 	Version     uint64
 	Routes      []Route
-	HealthPaths map[string]string // health check paths by service
-	IdleTimeout time.Duration     // after which an idle flow is forgotten; 0 for the default
+	HealthPaths map[string]string        // health check paths by service
+	Limits      map[string]ServiceLimits // limits of services that have any
+	IdleTimeout time.Duration            // after which an idle flow is forgotten; 0 for the default
 }
 
 type routeKey struct {
@@ -46,6 +60,7 @@
 
 type route struct {
 	kind        RouteKind
+	class       flowClass
 	services    []weightedService
 	totalWeight uint32
 	// pastServices holds every service that the route has used in a version known to this
@@ -89,7 +104,7 @@
 	e.routes, e.version, e.configured = routes, c.Version, true
 	for name, path := range c.HealthPaths {
 		s := e.service(name)
-		s.named, s.healthPath = true, path
+		s.named, s.healthPath, s.limits = true, path, c.Limits[name]
 	}
 	e.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
@@ -99,7 +114,7 @@
 }
 
 func (e *Engine) newRoute(in *Route, previous ...*route) *route {
-	r := &route{kind: in.Kind}
+	r := &route{kind: in.Kind, class: newFlowClass(in)}
 	for _, w := range in.Services {
 		s := e.service(w.Service)
 		s.named = true
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -76,6 +76,7 @@
 	runningSince       time.Duration // time of the first tick after the last pause of the process
 	byAddress          map[netip.AddrPort][]*server
 
+	evacuated map[string]struct{} // failure domains
 	peerLoads map[string]peerLoads
 	handshake float64 // moving average of handshake times, in nanoseconds
 	nextRates time.Duration
@@ -113,6 +114,7 @@
 		failedServers:    make(map[*server]struct{}),
 		claimants:        make(map[*server]struct{}),
 		byAddress:        make(map[netip.AddrPort][]*server),
+		evacuated:        make(map[string]struct{}),
 		peerLoads:        make(map[string]peerLoads),
 		handshake:        float64(initialHandshake),
 	}
@@ -156,10 +158,11 @@
 		return e.refuse(NoRoute), nil
 	}
 	f := e.flows[p.Flow]
-	if f != nil && f.state == opening && (f.server.health.state <= suspected) {
+	if f != nil && f.state == opening && f.server.health.state <= suspected && !e.isEvacuated(f.server) {
 		if !f.server.progressedAfter(f.sentAt) {
 			f.server.health.retransmissions++
 		}
+		e.countOpeningPacket(now, f.server)
 		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
 	}
 	if e.prefixes != nil {
@@ -172,6 +175,10 @@
 	if s == nil {
 		return e.refuse(NoServer), actions
 	}
+	if ok, reason := e.admit(now, r, s); !ok {
+		return e.refuse(reason), actions
+	}
+	e.countOpeningPacket(now, s)
 	if f != nil {
 		e.removeFlow(f)
 	}
--- a/forwarding/failures.go
+++ b/forwarding/failures.go
@@ -72,6 +72,7 @@
 	}
 	f.overdue = true
 	e.addFailure(now, f.server)
+	e.observeOverdue(now, f)
 	if len(e.unreportedFailures) < maxUnreportedFailures {
 		e.unreportedFailures = append(e.unreportedFailures, f.server.cookie)
 	}
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -83,11 +83,13 @@
 			f.server.meter.addSample(now - duration(f.sentAt))
 			f.server.service.recordResponse(now - duration(f.sentAt))
 		}
+		acknowledged := p.Acknowledgement - f.ack
 		f.ack = p.Acknowledgement
 		elapsed := unknownElapsed
 		if f.requestPending {
 			response = now - duration(f.sentAt)
 			elapsed = response
+			e.observeAnswer(now, f, elapsed, acknowledged)
 		}
 		e.recordProgress(now, f.server, elapsed)
 		e.setRequestPending(now, f, false)
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -314,6 +314,7 @@
 		}
 		e.assign(f, next)
 		e.addExpectedRate(next)
+		e.countOpeningPacket(now, next)
 		f.sentAt = millis(now)
 		actions = append(actions, Action{Kind: SendPacket, Flow: f.key, Packet: p.packet, Target: next.target(), Server: next.Name, Reason: ServerDead})
 	}
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -36,6 +36,11 @@
 	Cookie      uint32
 	Rate        float64       // requests per second
 	ServiceTime time.Duration // without queueing; 0 without samples
+	Flows       int           // open flows of the source
+	// SampleSum and Samples are the decayed sum and number of the service times that the source
+	// has measured, so that the reports of several sources add up.
+	SampleSum time.Duration
+	Samples   float64
 }
 
 // peerLoads is the latest load report of a source.
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -82,12 +82,14 @@
 	NotServing                  // the instance has no configuration yet
 	OtherService                // the cookie names a server of a service that the route never used
 	PrefixLimited               // too many new flows from the client's source prefix
+	Overloaded                  // more urgent flows need the capacity that is left
+	DeadlineUnmet               // the expected wait exceeds what callers of the route wait
 
 	// NumReasons is the number of reasons.
 	NumReasons
 )
 
-var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited"}
+var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited", "overloaded", "deadline_unmet"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -46,6 +46,7 @@
 	name              string
 	named             bool // a configuration has named it
 	healthPath        string
+	limits            ServiceLimits
 	local, remote     []*server // listed servers of the own and of other failure domains
 	remoteLeastLoaded []*server // least loaded servers as reported by other domains
 
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -36,6 +36,9 @@
 	GracePeriod        time.Duration
 	ConfigurationBound time.Duration
 	DrainBound         time.Duration
+	EvacuationBound    time.Duration
+	ColdOverage        float64
+	ColdSlack          float64
 	FirstStart         bool
 	LogLevel           string
 }
@@ -62,6 +65,9 @@
 	f.DurationVar(&s.GracePeriod, "grace-period", 6*time.Second, "time between SIGTERM and SIGKILL")
 	f.DurationVar(&s.ConfigurationBound, "configuration-bound", 3*time.Second, "time within which an accepted configuration must be in force")
 	f.DurationVar(&s.DrainBound, "drain-bound", 3*time.Second, "time after which a draining server must not get new flows")
+	f.DurationVar(&s.EvacuationBound, "evacuation-bound", 0, "time within which an evacuated failure domain must not get new flows any more; 0 for none")
+	f.Float64Var(&s.ColdOverage, "cold-overage", 0, "a cold server gets at most this factor times the rate that it bears, plus --cold-slack, in new flows per second over all instances; 0 for no limit unless --cold-slack is set")
+	f.Float64Var(&s.ColdSlack, "cold-slack", 0, "new flows per second that a cold server may get beyond --cold-overage")
 	f.BoolVar(&s.FirstStart, "first-start", false, "the whole deployment starts for the first time, before any traffic: only the seeds read the store at once, others wait for them")
 	f.StringVar(&s.LogLevel, "log-level", "info", "minimum level of log lines: debug, info, warn or error")
 }
@@ -144,9 +150,23 @@
 			reject(d.name, "%v must be from 100ms to 24h", d.value)
 		}
 	}
+	if d := s.EvacuationBound; d != 0 && (d < 100*time.Millisecond || d > 24*time.Hour) {
+		reject("evacuation-bound", "%v must be 0 or from 100ms to 24h", d)
+	}
+	for _, v := range []struct {
+		name  string
+		value float64
+	}{{"cold-overage", s.ColdOverage}, {"cold-slack", s.ColdSlack}} {
+		if !(v.value >= 0 && v.value <= maxColdLimit) {
+			reject(v.name, "%v must be from 0 to %d", v.value, maxColdLimit)
+		}
+	}
 	return errors.Join(errs...)
 }
 
+// maxColdLimit is the maximum of --cold-overage and --cold-slack.
+const maxColdLimit = 1_000_000
+
 // effectivePeerAddress returns the address at which other instances reach this one.
 func (s *Settings) effectivePeerAddress() netip.AddrPort {
 	if s.AdvertisedAddress != "" {
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -50,15 +50,16 @@
 	// DrainBound leads to shorter times.
 	maxWatchWait  = 1500 * time.Millisecond
 	maxBatchDelay = 300 * time.Millisecond
-	// The wait time of a watch and the delay after it are the shorter of ConfigurationBound
-	// and DrainBound, divided by watchWaitDivisor and batchDelayDivisor. A watch on an
+	// The wait time of a watch and the delay after it are the shortest of ConfigurationBound,
+	// DrainBound and EvacuationBound, divided by watchWaitDivisor and batchDelayDivisor. A watch on an
 	// unresponsive connection, its timeout and the takeover by another instance must fit
 	// within that bound.
 	watchWaitDivisor  = 2
 	batchDelayDivisor = 10
 )
 
-// timing holds the durations that are derived from ConfigurationBound and DrainBound.
+// timing holds the durations that are derived from the bounds on configuration, draining and
+// evacuation.
 type timing struct {
 	watchWait    time.Duration // how long a watch waits for a change; also limits how long a silent connection goes unnoticed
 	batchDelay   time.Duration // delay after a watch; batches bursts of changes to save store calls
@@ -67,6 +68,9 @@
 
 func newTiming(s *Settings) timing {
 	bound := min(s.ConfigurationBound, s.DrainBound)
+	if s.EvacuationBound > 0 {
+		bound = min(bound, s.EvacuationBound)
+	}
 	t := timing{watchWait: min(bound/watchWaitDivisor, maxWatchWait), batchDelay: min(bound/batchDelayDivisor, maxBatchDelay)}
 	t.maxRecordAge = t.watchWait + t.batchDelay + 2*mesh.StatusInterval + 100*time.Millisecond
 	return t
@@ -268,8 +272,9 @@
 
 // listingPrefixes are the key prefixes of a stale listing, in the order in which a starting
 // instance needs the records: at 20 Mbit/s, the listing of 600 servers takes 160 ms, and clients
-// send again meanwhile.
-var listingPrefixes = []string{wire.ConfigurationKey, wire.ServerPrefix, instancePrefix}
+// send again meanwhile. The operators' records, which include the evacuations, come before the
+// servers, so that no flow goes to an evacuated failure domain.
+var listingPrefixes = []string{wire.OperatorPrefix, wire.ServerPrefix, instancePrefix}
 
 // list reads all records. If stale is set, the store may return pages of older revisions; the
 // listing is then complete only up to the revision of the oldest page. The engine gets each page
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -146,7 +146,16 @@
 func appendLoad(b []byte, l *forwarding.Load) []byte {
 	b = protowire.AppendVarint(b, uint64(l.Cookie))
 	b = protowire.AppendVarint(b, uint64(l.Rate*rateScale))
-	return protowire.AppendVarint(b, uint64(l.ServiceTime/time.Microsecond))
+	b = protowire.AppendVarint(b, uint64(l.ServiceTime/time.Microsecond))
+	if l.Flows <= 0 && l.Samples <= 0 {
+		return b
+	}
+	b = protowire.AppendVarint(b, uint64(max(l.Flows, 0)))
+	if l.Samples <= 0 {
+		return b
+	}
+	b = protowire.AppendVarint(b, uint64(l.SampleSum/time.Microsecond))
+	return protowire.AppendVarint(b, uint64(l.Samples*rateScale))
 }
 
 func appendLeastLoaded(b []byte, d *DomainLeastLoaded) []byte {
@@ -294,11 +303,19 @@
 	rateScale = 100
 	// maxRate is the upper limit of a received rate, in hundredths of requests per second.
 	maxRate = 1 << 30
+	// maxFlows is the upper limit of a received number of open flows.
+	maxFlows = 1 << 30
+	// requiredLoadNumbers is the length of a load from a version of the program that reports
+	// neither flows nor samples.
+	requiredLoadNumbers = 3
 )
 
 func decodeLoad(b []byte, out *[]forwarding.Load) error {
-	var numbers [3]uint64
+	var numbers [6]uint64
 	for i := range numbers {
+		if i >= requiredLoadNumbers && len(b) == 0 {
+			break
+		}
 		v, n := protowire.ConsumeVarint(b)
 		if n < 0 {
 			return protowire.ParseError(n)
@@ -308,6 +325,8 @@
 	*out = append(*out, forwarding.Load{
 		Cookie: uint32(numbers[0]), Rate: float64(min(numbers[1], maxRate)) / rateScale,
 		ServiceTime: time.Duration(min(numbers[2], maxServiceTime)) * time.Microsecond,
+		Flows:       int(min(numbers[3], maxFlows)),
+		SampleSum:   time.Duration(min(numbers[4], maxServiceTime)) * time.Microsecond, Samples: float64(min(numbers[5], maxRate)) / rateScale,
 	})
 	return nil
 }
