Evacuation records reach server selection, probes, status and metrics

Cause: the store's evacuation records were decoded but never read, so no failure domain was evacuated.

The forwarder applies the records before all others of a batch, passes begin and end to the engine, logs them and names domains that no server and no instance is in. An instance is ready only after a complete listing. After the end they are cold for their service's cold start.

--- a/forwarding/claims.go
+++ b/forwarding/claims.go
@@ -66,7 +66,7 @@
 
 // askClaim probes the address of a claim if it differs from the server's.
 func (e *Engine) askClaim(now time.Duration, s *server) []Action {
-	if !s.claimsElsewhere() || now < s.claim.nextAsk {
+	if !s.claimsElsewhere() || now < s.claim.nextAsk || !e.mayProbe(s, &s.claim.Server) {
 		return nil
 	}
 	s.claim.nextAsk = now + downProbeInterval
--- a/forwarding/ended.go
+++ b/forwarding/ended.go
@@ -69,7 +69,7 @@
 // process that started since.
 func (e *Engine) askAgain(now time.Duration, s *server) []Action {
 	h := &s.health
-	if h.probing || now < h.nextAsk || h.state != dead && (h.state != refusing || h.retransmissions < resetRetransmissions) {
+	if h.probing || now < h.nextAsk || h.state != dead && (h.state != refusing || h.retransmissions < resetRetransmissions) || !e.mayProbe(s, &s.Server) {
 		return nil
 	}
 	h.nextAsk = now + askAgainInterval
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -76,7 +76,9 @@
 	runningSince       time.Duration // time of the first tick after the last pause of the process
 	byAddress          map[netip.AddrPort][]*server
 
-	evacuated map[string]struct{} // failure domains
+	evacuated      map[string]struct{} // failure domains
+	evacuatedFlows uint64              // new flows that left the own failure domain because it is evacuated
+
 	peerLoads map[string]peerLoads
 	handshake float64 // moving average of handshake times, in nanoseconds
 	nextRates time.Duration
@@ -173,12 +175,13 @@
 	actions := e.suspectRefusals(now, p.Flow)
 	s := e.choose(now, r)
 	if s == nil {
-		return e.refuse(NoServer), actions
+		return e.refuse(e.refusalWithoutServer(r)), actions
 	}
 	if ok, reason := e.admit(now, r, s); !ok {
 		return e.refuse(reason), actions
 	}
 	e.countOpeningPacket(now, s)
+	e.countEvacuated(s)
 	if f != nil {
 		e.removeFlow(f)
 	}
@@ -331,17 +334,18 @@
 type Stats struct {
 	Flows, PendingRequests, Listed, Usable, Failing int
 	Version                                         uint64
+	EvacuatedFlows                                  uint64 // new flows that left the own failure domain because it is evacuated
 }
 
 // Stats returns the current values.
 func (e *Engine) Stats() Stats {
-	out := Stats{Flows: len(e.flows), Version: e.version}
+	out := Stats{Flows: len(e.flows), Version: e.version, EvacuatedFlows: e.evacuatedFlows}
 	for _, s := range e.servers {
 		out.PendingRequests += int(s.pendingRequests)
 		if s.listed {
 			out.Listed++
 		}
-		if s.usable() {
+		if s.usable() && !e.isEvacuated(s) {
 			out.Usable++
 		}
 		if s.failures.reported {
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -93,6 +93,7 @@
 	reportedUntil      time.Duration // end of that report
 	refusingSince      time.Duration // first of the consecutive refused connections
 	nextAsk            time.Duration // earliest time of the next probe by askAgain
+	deferred           bool          // suspected while the server may not be probed
 }
 
 // ProbeOutcome is the outcome of a probe.
--- a/forwarding/link.go
+++ b/forwarding/link.go
@@ -65,13 +65,13 @@
 // referenceFor returns a trusted server other than s for a reference connection, preferably
 // the one that answered last; the zero Target if there is none.
 func (e *Engine) referenceFor(s *server) Target {
-	if q := e.quickAnswerServer; q != nil && q != s && q.usableAsReference() {
+	if q := e.quickAnswerServer; q != nil && q != s && e.usableAsReference(q) {
 		return q.target()
 	}
 	for _, svc := range e.services {
 		for _, servers := range [][]*server{svc.local, svc.remote} {
 			for _, c := range servers {
-				if c != s && c.usableAsReference() {
+				if c != s && e.usableAsReference(c) {
 					return c.target()
 				}
 			}
@@ -82,4 +82,6 @@
 
 // usableAsReference reports whether a connection to the server can show that the own link
 // works.
-func (s *server) usableAsReference() bool { return s.listed && s.health.state == trusted }
+func (e *Engine) usableAsReference(s *server) bool {
+	return s.listed && s.health.state == trusted && e.mayProbe(s, &s.Server)
+}
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -108,9 +108,13 @@
 
 // LeastLoadedServers returns the least loaded servers of each service in the own failure
 // domain, with the load of all instances of the domain. Other domains spill over only to
-// these servers.
+// these servers. An evacuated domain has none.
 func (e *Engine) LeastLoadedServers(now time.Duration) []Load {
+	if e.isDomainEvacuated(e.cfg.Domain) {
+		return nil
+	}
 	var out []Load
+	most := e.maxReported()
 	for _, svc := range e.services {
 		usable := make([]*server, 0, len(svc.local))
 		for _, s := range svc.local {
@@ -119,7 +123,7 @@
 			}
 		}
 		slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.utilization(now), b.utilization(now)) })
-		for _, s := range usable[:min(maxLeastLoaded, len(usable))] {
+		for _, s := range usable[:min(most, len(usable))] {
 			m := &s.meter
 			out = append(out, Load{Cookie: s.cookie, Rate: m.rate + m.expectedRate + m.peerRate, ServiceTime: time.Duration(s.requestTime(now))})
 		}
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -84,12 +84,13 @@
 	PrefixLimited               // too many new flows from the client's source prefix
 	Overloaded                  // more urgent flows need the capacity that is left
 	DeadlineUnmet               // the expected wait exceeds what callers of the route wait
+	Evacuated                   // all eligible servers are in evacuated failure domains
 
 	// NumReasons is the number of reasons.
 	NumReasons
 )
 
-var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited", "overloaded", "deadline_unmet"}
+var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited", "overloaded", "deadline_unmet", "evacuated"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -145,7 +145,9 @@
 	e.dropClaim(s)
 	e.setRecord(s, in)
 	s.listed = true
-	s.coldUntil = now + in.ColdLeft
+	if coldUntil := now + in.ColdLeft; newProcess || coldUntil > s.coldUntil {
+		s.coldUntil = coldUntil // the process may be cold for longer than it knows, see markCold
+	}
 	if restarted && known {
 		s.incarnation++
 	}
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -26,9 +26,12 @@
 func (e *Engine) settles(s *server) bool { return e.cfg.Settles == nil || e.cfg.Settles(s.cookie) }
 
 // investigate finds out whether a suspected server is alive: it asks the server's settlers or
-// probes the server.
+// probes the server. A server that may not be probed stays suspected until it may.
 func (e *Engine) investigate(now time.Duration, s *server) []Action {
 	h := &s.health
+	if h.deferred = !e.mayProbe(s, &s.Server); h.deferred {
+		return nil
+	}
 	if !s.listed || h.asked || h.settledAnswers >= maxSettledAnswers || e.settles(s) {
 		return e.probe(s)
 	}
@@ -82,7 +85,7 @@
 func (e *Engine) Suspect(now time.Duration, cookie uint32) []Action {
 	var actions []Action
 	for _, s := range e.byCookie[cookie] {
-		if s.flows > 0 || e.settles(s) {
+		if s.flows > 0 || e.settles(s) && e.mayProbe(s, &s.Server) {
 			actions = append(actions, e.suspectWithProbe(now, s)...)
 		} else {
 			e.markReported(now, s)
@@ -123,6 +126,10 @@
 		return nil
 	case !s.listed && (h.state != refusing || s.flows == 0):
 		return nil
+	case !e.mayProbe(s, &s.Server): // its state stays as it is
+		return nil
+	case h.deferred && h.state == suspected:
+		return e.investigate(now, s)
 	case h.replaced && s.flows == 0 && !e.settles(s): // the proof holds until a new process writes a record
 		return nil
 	case h.reported && now < h.reportedUntil:
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -37,9 +37,12 @@
 	out := make([]ServerView, 0, len(e.servers))
 	for _, s := range e.servers {
 		state, reason := s.describeState(now)
+		if e.isEvacuated(s) && slices.Contains(statesOfEvacuated, state) {
+			state, reason = "evacuated", "its failure domain is evacuated"
+		}
 		out = append(out, ServerView{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address, Cookie: s.cookie,
-			State: state, StateReason: reason, Usable: s.usable(),
+			State: state, StateReason: reason, Usable: s.usable() && !e.isEvacuated(s),
 			Flows: int(s.flows), PendingRequests: int(s.pendingRequests), Rate: s.meter.rate + s.meter.peerRate,
 			RequestTime: time.Duration(s.requestTime(now)), Utilization: s.utilization(now), Failures: s.failures.value(now),
 		})
@@ -51,7 +54,11 @@
 }
 
 // ServerStates lists the possible values of ServerView.State.
-var ServerStates = []string{"trusted", "cold", "failing", "suspected", "unproven", "shadowed", "draining", "unreachable", "refusing", "gone", "dead"}
+var ServerStates = []string{"trusted", "cold", "failing", "suspected", "unproven", "shadowed", "draining", "evacuated", "unreachable", "refusing", "gone", "dead"}
+
+// statesOfEvacuated are the states that are shown as evacuated: they do not matter for new flows while
+// the failure domain is evacuated.
+var statesOfEvacuated = []string{"trusted", "cold", "failing", "suspected", "unproven"}
 
 // describeState returns the server's state, one of ServerStates, and the reason for it.
 func (s *server) describeState(now time.Duration) (state, reason string) {
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -153,6 +154,7 @@
 			formatAge(s.RecordsAge), s.Watching, alive, len(s.Members), s.Flows, s.PendingRequests)
 	}
 	t.Flush()
+	r.writeEvacuations(w)
 	for _, s := range r.Instances {
 		if s.Error != "" {
 			fmt.Fprintln(w, s.Error)
@@ -160,6 +162,46 @@
 	}
 }
 
+// writeEvacuations writes a line for each evacuated failure domain. It names the instances that do
+// not know of the evacuation, since those still send new flows there.
+func (r forwardersResult) writeEvacuations(w io.Writer) {
+	type evacuation struct {
+		longest, held float64
+		known         map[string]bool
+	}
+	domains := make(map[string]*evacuation)
+	for _, s := range r.Instances {
+		for _, v := range s.Evacuations {
+			if !v.Active {
+				continue
+			}
+			e := domains[v.Domain]
+			if e == nil {
+				e = &evacuation{known: make(map[string]bool)}
+				domains[v.Domain] = e
+			}
+			e.longest, e.held, e.known[s.Instance] = max(e.longest, v.For), max(e.held, v.Held), true
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		e := domains[domain]
+		line := fmt.Sprintf("failure domain %s is evacuated for %.1fs", domain, e.longest)
+		if e.held > 0 {
+			line += fmt.Sprintf("; the restored store lacks the record, held for another %.1fs", e.held)
+		}
+		var unaware []string
+		for _, s := range r.Instances {
+			if s.Error == "" && !e.known[s.Instance] {
+				unaware = append(unaware, s.Instance)
+			}
+		}
+		if len(unaware) > 0 {
+			line += "; not at " + strings.Join(unaware, ", ")
+		}
+		fmt.Fprintln(w, line)
+	}
+}
+
 func formatAge(seconds *float64) string {
 	if seconds == nil {
 		return "never"
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -31,7 +31,7 @@
 	maxConcurrentProbes = 256
 )
 
-// Forwarder is one entry instance. mu guards engine, table, mesh and askers. It is the only lock and
+// Forwarder is one entry instance. mu guards engine, table, mesh, askers and evacuations. It is the only lock and
 // is never held during I/O.
 type Forwarder struct {
 	settings        atomic.Pointer[Settings]
@@ -55,11 +55,12 @@
 	storeRetryDelay time.Duration // backoff after the last failed call; accessed only by syncWithStore
 	peers           *peers
 
-	mu     sync.Mutex
-	engine *forwarding.Engine
-	table  *directory.Table
-	mesh   *mesh.Mesh
-	askers askers
+	mu          sync.Mutex
+	engine      *forwarding.Engine
+	table       *directory.Table
+	mesh        *mesh.Mesh
+	askers      askers
+	evacuations evacuations
 }
 
 // New opens the sockets and returns a forwarder that is ready to run. reload reads the
@@ -96,6 +97,7 @@
 		events:        newEventLog(log),
 		table:         directory.NewTable(2 * s.MaxFlowLifetime),
 		askers:        make(askers),
+		evacuations:   newEvacuations(s.EvacuationBound),
 	}
 	f.table.OrderValuesBy(wire.WriterOrder)
 	f.engine = forwarding.New(forwarding.Config{
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -52,6 +52,12 @@
 	gauge("forwarder_servers{state=\"usable\"}", func(s forwarding.Stats) float64 { return float64(s.Usable) })
 	gauge("forwarder_servers{state=\"listed\"}", func(s forwarding.Stats) float64 { return float64(s.Listed) })
 	gauge("forwarder_servers{state=\"failing\"}", func(s forwarding.Stats) float64 { return float64(s.Failing) })
+	gauge("forwarder_flows_left_evacuated_domain", func(s forwarding.Stats) float64 { return float64(s.EvacuatedFlows) })
+	set.NewGauge("forwarder_evacuated_domains", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return float64(f.evacuations.active(f.now()))
+	})
 	set.NewGauge("forwarder_records_revision", func() float64 {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -131,6 +131,7 @@
 		f.table.Expire(f.now())
 		f.mesh.Forget(f.now())
 		f.mu.Unlock()
+		f.tickEvacuations()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -38,8 +38,15 @@
 	return records, at, nil
 }
 
-// apply passes changed records to the engine.
+// apply passes changed records to the engine. Evacuations come first: packets are handled between
+// two records, and a server must not get a new flow before the evacuation of its failure domain is
+// known.
 func (f *Forwarder) apply(changed []directory.Record) {
+	for _, r := range changed {
+		if strings.HasPrefix(r.Key, wire.EvacuationPrefix) {
+			f.applyEvacuation(r)
+		}
+	}
 	for _, r := range changed {
 		switch {
 		case r.Key == wire.ConfigurationKey && r.Value != nil:
@@ -54,13 +61,15 @@
 	f.checkReady()
 }
 
-// checkReady marks the instance as ready once its records are current and include a
-// configuration.
+// checkReady marks the instance as ready once its records are complete and include a
+// configuration. Until a first listing has ended, evacuations may be missing although the
+// configuration is there.
 func (f *Forwarder) checkReady() {
 	f.mu.Lock()
 	_, configured := f.engine.Version()
+	complete := f.table.AsOf() > 0
 	f.mu.Unlock()
-	if configured && f.initialSyncDone.Load() {
+	if configured && complete && f.initialSyncDone.Load() {
 		f.lifecycle.fire(triggerCaughtUp)
 	}
 }
--- a/internal/forwarder/status.go
+++ b/internal/forwarder/status.go
@@ -38,6 +38,7 @@
 		}
 		out.Members = append(out.Members, member)
 	}
+	out.Evacuations = f.evacuations.view(now)
 	for _, s := range f.engine.Servers(now) {
 		out.Servers = append(out.Servers, view.Server{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address.String(), Cookie: s.Cookie, State: s.State, StateReason: s.StateReason,
--- a/internal/forwarder/view/view.go
+++ b/internal/forwarder/view/view.go
@@ -22,6 +22,18 @@
 	PendingRequests int      `json:"requests_under_way"`
 	Members         []Member `json:"members"`
 	Servers         []Server `json:"backend_servers"`
+	// Evacuations are the failure domains under evacuation and those whose evacuation ended within
+	// the last ten minutes.
+	Evacuations []Evacuation `json:"evacuations"`
+}
+
+// Evacuation is the evacuation of a failure domain as the instance knows it.
+type Evacuation struct {
+	Domain   string  `json:"failure_domain"`
+	Active   bool    `json:"active"`
+	For      float64 `json:"active_for_s"`   // if active
+	EndedAgo float64 `json:"ended_ago_s"`    // if not active
+	Held     float64 `json:"end_held_for_s"` // remaining time for which an end is held back that only a restored store implies
 }
 
 // Member is another instance as seen by this one.
