Forwarder tests of evacuations against the stand-in store

Cause: how evacuation records arrive, and what a restored store, an unknown domain or an unreadable record does to them, had no tests.

A server knows whether its domain is evacuated, so that a choice needs no map look-up.

--- a/forwarding/evacuate.go
+++ b/forwarding/evacuate.go
@@ -16,18 +16,21 @@
 // flows meanwhile; open flows stay. Afterwards they are cold. The domain may be one that no server
 // names yet.
 func (e *Engine) SetEvacuated(now time.Duration, domain string, active bool) {
-	if active {
-		e.evacuated[domain] = struct{}{}
+	if active == e.isDomainEvacuated(domain) {
 		return
 	}
-	if _, was := e.evacuated[domain]; !was {
-		return
+	if active {
+		e.evacuated[domain] = struct{}{}
+	} else {
+		delete(e.evacuated, domain)
 	}
-	delete(e.evacuated, domain)
 	for _, s := range e.servers {
 		if s.Domain != domain {
 			continue
 		}
+		if s.evacuated = active; active {
+			continue
+		}
 		e.markCold(now, s)
 		if s.health.reported {
 			// The settlers have not probed the server, and so not repeated their report, during the
@@ -53,12 +56,9 @@
 }
 
 // isEvacuated reports whether the server is in an evacuated failure domain.
-func (e *Engine) isEvacuated(s *server) bool { return e.isDomainEvacuated(s.Domain) }
+func (e *Engine) isEvacuated(s *server) bool { return s.evacuated }
 
 func (e *Engine) isDomainEvacuated(domain string) bool {
-	if len(e.evacuated) == 0 {
-		return false
-	}
 	_, active := e.evacuated[domain]
 	return active
 }
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -66,6 +66,7 @@
 	service          *service
 	cookie           uint32
 	local            bool
+	evacuated        bool          // its failure domain is evacuated
 	listed           bool          // the record exists
 	leaving          bool          // the process has reported that it is draining, perhaps in an earlier record
 	unproven         bool          // gets new flows only after it has answered
@@ -214,7 +215,7 @@
 		e.byAddress[in.Address] = append(e.byAddress[in.Address], s)
 	}
 	s.Server, s.service = in, e.service(in.Service)
-	s.local = in.Domain == e.cfg.Domain
+	s.local, s.evacuated = in.Domain == e.cfg.Domain, e.isDomainEvacuated(in.Domain)
 	switch {
 	case known && !moved:
 	case s.local:
--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -36,6 +36,9 @@
 	servers   map[string]*flows.Server
 	client    *flows.Client
 	version   int
+	log       zerolog.Logger // of instances that are started later
+
+	evacuationBound time.Duration // of instances that are started later
 }
 
 type instance struct {
@@ -48,7 +51,7 @@
 var service = netip.MustParseAddrPort("198.18.0.1:8443")
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, store: metastore.New(), instances: make(map[string]*instance), servers: make(map[string]*flows.Server)}
+	d := &deployment{t: t, store: metastore.New(), instances: make(map[string]*instance), servers: make(map[string]*flows.Server), log: zerolog.Nop()}
 	server := httptest.NewServer(d.store.Handler())
 	t.Cleanup(server.Close)
 	d.storeAddr = strings.TrimPrefix(server.URL, "http://")
@@ -81,26 +84,33 @@
 	d.store.Put(wire.ConfigurationKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8443/","kind":"idempotent","service":%q}],"services":[{"name":%q,"healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}}`, d.version, name, name)))
 }
 
-// startInstance starts an instance at the address with the given number. Its metrics address
-// is already in use, which must not stop the instance from working.
+// startInstance starts an instance at the address with the given number.
 func (d *deployment) startInstance(name, domain string, number int, seeds ...string) *instance {
+	i := d.newInstance(name, domain, number, seeds...)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	go func() { i.done <- i.Run(ctx) }()
+	return i
+}
+
+// newInstance returns an instance that does not run yet. Its metrics address is already in use, which
+// must not stop the instance from working.
+func (d *deployment) newInstance(name, domain string, number int, seeds ...string) *instance {
 	ip := fmt.Sprint("127.0.2.", number)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, d.ports[i]) }
 	s := Settings{
 		InstanceID: name, FailureDomain: domain, MetricsAddress: at(1), DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
 		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, NewFlowsPerPrefix: defaultNewFlowsPerPrefix, MaxFlowLifetime: time.Minute,
-		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, LogLevel: "info",
+		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, EvacuationBound: d.evacuationBound, LogLevel: "info",
 	}
 	if err := s.Check(); err != nil {
 		d.t.Fatal(err)
 	}
-	f, err := New(s, func() (Settings, error) { return s, nil }, zerolog.Nop())
+	f, err := New(s, func() (Settings, error) { return s, nil }, d.log)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	i := &instance{Forwarder: f, ip: ip, cancel: cancel, done: make(chan error, 1)}
-	go func() { i.done <- f.Run(ctx) }()
+	i := &instance{Forwarder: f, ip: ip, cancel: func() {}, done: make(chan error, 1)}
 	d.instances[name] = i
 	d.t.Cleanup(i.kill)
 	return i
