Soak: failure domains are evacuated while processes, store and links fail

Cause: no run with real processes had an evacuation.

A restored store gets the records again. After the faults, a domain is evacuated while instances are killed: their new processes must not open flows there either, and the domain must get flows again after the end.

--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -115,11 +115,12 @@
 }
 
 // checkNewFlow checks that a server only receives new flows for its own service, and none
-// later than maxPropagationDelay after it was marked as draining.
+// later than maxPropagationDelay after it was marked as draining or its failure domain was evacuated.
 func (d *deployment) checkNewFlow(s *server, via netip.Addr, to netip.AddrPort) {
 	if (to.Addr() == catalogueAddr.Addr()) != (s.Service == "catalogue") {
 		d.recordViolation("server %s of service %s received a flow for address %s from %s", s.ID, s.Service, to, via)
 	}
+	d.checkNotEvacuated(s, via)
 	s.mu.Lock()
 	drainedAt := s.drainedAt
 	s.mu.Unlock()
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -29,7 +29,7 @@
 
 const (
 	// maxPropagationDelay is the time within which the users require a configuration change
-	// or the drain of a server to take effect.
+	// or the drain of a server to take effect; it is also the bound on evacuations here.
 	maxPropagationDelay = 3 * time.Second
 	// settleTime is how long an instance and the store must have been free of faults
 	// before time limits apply to the instance.
@@ -98,7 +98,10 @@
 	faultsOver     bool                 // no fault may begin any more
 	writesLost     bool                 // the store was restored and nothing has been written again yet
 	servers        []*server
-	nextID         int
+	evacuated      map[string]time.Time // failure domains and when their evacuation was written
+	// evacuationKnown is set while every instance must know the evacuations, see checkEvacuation.
+	evacuationKnown bool
+	nextID          int
 
 	instances []*instance
 	served    atomic.Int64
@@ -149,7 +152,7 @@
 func (in *instance) domain() int { return in.index % domainCount }
 
 func newDeployment(o Options) (*deployment, error) {
-	d := &deployment{options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: metastore.New(), faultCounts: make(map[string]int)}
+	d := &deployment{options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: metastore.New(), faultCounts: make(map[string]int), evacuated: make(map[string]time.Time)}
 	server := httptest.NewServer(d.store.Handler())
 	d.cleanups = append(d.cleanups, server.Close)
 	d.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
@@ -243,8 +246,8 @@
 		return err
 	}
 	d.cleanups = append(d.cleanups, in.peerLink.close)
-	settings := fmt.Sprintf("instance-id=%s\nfailure-domain=d%d\ndatagram-address=%s\nready-address=%s\npeer-address=%s\nadvertised-peer-address=%s\nseeds=%s:1,%s:1\nstore-address=%s\n",
-		in.name, in.domain(), addrAt(0), addrAt(1), addrAt(2), in.peerLink.address(), d.nthAddr(firstPeerLinkAddr, 0), d.nthAddr(firstPeerLinkAddr, 2), in.storeLink.address())
+	settings := fmt.Sprintf("instance-id=%s\nfailure-domain=d%d\ndatagram-address=%s\nready-address=%s\npeer-address=%s\nadvertised-peer-address=%s\nseeds=%s:1,%s:1\nstore-address=%s\nevacuation-bound=%v\n",
+		in.name, in.domain(), addrAt(0), addrAt(1), addrAt(2), in.peerLink.address(), d.nthAddr(firstPeerLinkAddr, 0), d.nthAddr(firstPeerLinkAddr, 2), in.storeLink.address(), maxPropagationDelay)
 	file := filepath.Join(d.options.Dir, in.name+".conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -169,6 +169,7 @@
 	if !bytes.Equal(d.store.Value(wire.ConfigurationKey), d.configuration) {
 		d.store.Put(wire.ConfigurationKey, d.configuration)
 	}
+	d.writeEvacuationsAgain()
 	for _, s := range d.servers {
 		s.mu.Lock()
 		stopped := !s.stoppedAt.IsZero()
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -47,8 +47,8 @@
 }
 
 // Run injects random faults for Options.FaultDuration and lets the deployment settle. It then
-// changes the configuration while watching instances are paused or killed, and finally
-// kills all instances. The invariants are checked throughout. Violations are reported in
+// changes the configuration while watching instances are paused or killed, evacuates a failure domain,
+// and finally kills all instances. The invariants are checked throughout. Violations are reported in
 // the result; an error means that the run itself failed.
 func Run(ctx context.Context, o Options) (Result, error) {
 	start := time.Now()
@@ -77,16 +77,23 @@
 		cancel()
 		return d.result(start), err
 	}
+	evacuating, endEvacuations := context.WithCancel(ctx)
+	defer endEvacuations()
+	evacuationsOver := make(chan struct{})
+	go func() { d.runEvacuations(evacuating); close(evacuationsOver) }()
 	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		d.injectFault()
 		if d.rng.IntN(4) > 0 { // else the next one comes at once
 			time.Sleep(d.randomDuration(500))
 		}
 	}
+	endEvacuations()
+	<-evacuationsOver
 	d.clearFaults()
 	d.checkTakeover()
 	d.checkChangeAfterCrashes()
 	d.checkChangeAfterRestore()
+	d.checkEvacuation()
 	d.checkRecovery()
 	cancel()
 	workers.Wait()
