--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -275,7 +275,7 @@
 	}
 	f.mu.Lock()
 	for _, p := range m.Members {
-		f.mesh.AddPeer(p, false)
+		f.mesh.AddPeer(p)
 	}
 	if m.Status != nil {
 		f.mesh.ApplyStatus(f.now(), *m.Status)
--- a/internal/forwarder/registration.go
+++ b/internal/forwarder/registration.go
@@ -195,7 +195,7 @@
 func (f *Forwarder) applyInstance(r directory.Record) {
 	if r.Removed {
 		f.mu.Lock()
-		f.mesh.Unlist(strings.TrimPrefix(r.Key, instancePrefix))
+		f.mesh.Unlist(f.now(), strings.TrimPrefix(r.Key, instancePrefix))
 		f.mu.Unlock()
 		return
 	}
@@ -205,6 +205,6 @@
 		return
 	}
 	f.mu.Lock()
-	f.mesh.AddPeer(p, true)
+	f.mesh.List(f.now(), p)
 	f.mu.Unlock()
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -54,14 +54,16 @@
 
 type member struct {
 	Peer
-	placement  placement.Member
-	listed     bool // has a record in the directory
-	status     Status
-	heardAt    time.Duration
-	heard      bool
-	sentAt     time.Duration
-	sent       bool
-	aheadSince time.Duration // since when its records are newer than ours; 0 if they are not
+	placement placement.Member
+	listed    bool // has a record in the directory
+	// listedDomain is the failure domain in that record. Messages may name another one.
+	listedDomain string
+	status       Status
+	heardAt      time.Duration
+	heard        bool
+	sentAt       time.Duration
+	sent         bool
+	aheadSince   time.Duration // since when its records are newer than ours; 0 if they are not
 }
 
 func (m *member) alive(now, within time.Duration) bool {
@@ -101,7 +103,10 @@
 	unwatchedSince time.Duration // since when no instance of higher rank is known to watch
 	unwatched      bool
 	watching       bool
-	nextRecipient  int // index of the next status message's first recipient
+	nextRecipient  int                // index of the next status message's first recipient
+	selfListed     bool               // the directory contains this instance in its failure domain
+	gainedAt       time.Duration      // last change that may have made this instance the owner of cold servers; at first the start
+	owners         []placement.Member // listed instances of the own failure domain, sorted by ID
 }
 
 // New returns a mesh that knows only its own instance.
@@ -112,7 +117,7 @@
 }
 
 // AddPeer adds or updates an instance known from the directory, a seed's answer or a message.
-func (m *Mesh) AddPeer(p Peer, listed bool) {
+func (m *Mesh) AddPeer(p Peer) {
 	if p.ID == m.cfg.Self.ID || p.ID == "" {
 		return
 	}
@@ -121,27 +126,18 @@
 		known = &member{}
 		m.members[p.ID] = known
 	}
-	known.listed = known.listed || listed
 	if known.Peer != p {
 		known.Peer = p
 		m.rank()
 	}
 }
 
-// Unlist records that an instance's record has vanished. The instance stays a member while it
-// sends messages: a lease may expire while its holder is alive.
-func (m *Mesh) Unlist(id string) {
-	if p := m.members[id]; p != nil {
-		p.listed = false
-	}
-}
-
 // ApplyStatus applies a status message.
 func (m *Mesh) ApplyStatus(now time.Duration, s Status) {
 	if s.ID == m.cfg.Self.ID || s.ID == "" {
 		return // "" comes from a malformed message
 	}
-	m.AddPeer(s.Peer, false)
+	m.AddPeer(s.Peer)
 	p := m.members[s.ID]
 	if p.heard && s.Incarnation == p.status.Incarnation && s.AsOf < p.status.AsOf {
 		return // reordered in transit
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -39,7 +39,7 @@
 	for _, p := range peers {
 		m := &node{Mesh: New(Config{Self: p, MaxRecordAge: maxRecordAge}), up: true, store: true}
 		for _, o := range peers {
-			m.AddPeer(o, true)
+			m.List(0, o)
 		}
 		n.instances = append(n.instances, m)
 	}
