Forwarding: limits of opening packets to cold servers and of open flows

A server counts as cold for as long as its record says, and for coldStartS after a new process, a returned record or an answer of a server that was down. Only its owner sends opening packets to it, repeated and redirected ones included. Log lines, metrics and monsoonctl forwarder show both. Off unless the settings or the configuration set the limits.

--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -59,20 +59,13 @@
 	if local != nil {
 		return local
 	}
-	for _, usable := range []func(*server, time.Duration) bool{(*server).usableAt, (*server).usableAfterRemoval, (*server).usableAsLastResort} {
+	for _, usable := range []func(*server, time.Duration) bool{(*server).usableAt, (*server).usableBeyondLimit, (*server).usableAfterRemoval, (*server).usableAsLastResort} {
 		for _, servers := range [][]*server{svc.local, svc.remote} {
 			if s, _ := e.leastLoaded(now, servers, usable); s != nil {
 				return s
 			}
 		}
 	}
-	// All eligible servers are at their limit of open flows. The count is an estimate, and the
-	// server itself decides.
-	for _, servers := range [][]*server{svc.local, svc.remote} {
-		if s, _ := e.leastLoaded(now, servers, (*server).usableBeyondLimit); s != nil {
-			return s
-		}
-	}
 	return nil
 }
 
@@ -92,7 +85,8 @@
 // leastLoaded.
 func (s *server) usableAt(time.Duration) bool { return s.usable() && !s.full() }
 
-// usableBeyondLimit reports whether the server is usable apart from its limit of open flows.
+// usableBeyondLimit reports whether the server is usable apart from its limit of open flows. The
+// count is an estimate, and the server itself decides.
 func (s *server) usableBeyondLimit(time.Duration) bool { return s.usable() }
 
 // leastLoaded returns the least loaded server, and its utilization, of a sample of those that
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -105,6 +105,7 @@
 	for name, path := range c.HealthPaths {
 		s := e.service(name)
 		s.named, s.healthPath, s.limits = true, path, c.Limits[name]
+		e.applyColdLimits(s)
 	}
 	e.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -44,7 +44,12 @@
 	// RecordsCurrent reports whether the records include every change up to less than the bound on
 	// draining ago. If nil, they always do.
 	RecordsCurrent func() bool
-	Seed           uint64
+	// ColdStart limits the opening packets to cold servers.
+	ColdStart ColdStart
+	// OwnsColdStart reports whether this instance sends the opening packets to the server with the
+	// cookie while it is cold. If nil, it does.
+	OwnsColdStart func(cookie uint32) bool
+	Seed          uint64
 }
 
 // Engine holds the forwarding state of one instance.
@@ -70,12 +75,16 @@
 	activeServers      map[*server]struct{} // servers with a nonzero request rate
 	failedServers      map[*server]struct{} // servers with recent failures
 	claimants          map[*server]struct{} // servers with a claim
+	coldServers        map[*server]struct{} // servers that are cold, with a limit on cold starts
 	outdatedAt         time.Duration        // last time that the records were not known to be current; at first the start
 	unreportedFailures []uint32             // cookies of the servers of failures not yet reported to peers
 	lastTick           time.Duration
 	runningSince       time.Duration // time of the first tick after the last pause of the process
 	byAddress          map[netip.AddrPort][]*server
 
+	passedOverCold bool // the current choice has passed over a cold server
+	keptFromCold   int  // opening packets that were kept from cold servers
+
 	evacuated map[string]struct{} // failure domains
 	peerLoads map[string]peerLoads
 	handshake float64 // moving average of handshake times, in nanoseconds
@@ -113,6 +122,7 @@
 		activeServers:    make(map[*server]struct{}),
 		failedServers:    make(map[*server]struct{}),
 		claimants:        make(map[*server]struct{}),
+		coldServers:      make(map[*server]struct{}),
 		byAddress:        make(map[netip.AddrPort][]*server),
 		evacuated:        make(map[string]struct{}),
 		peerLoads:        make(map[string]peerLoads),
@@ -134,6 +144,7 @@
 
 // refuse returns the decision for a new flow that cannot be served.
 func (e *Engine) refuse(reason Reason) Decision {
+	e.countPassedOver()
 	if !e.complete {
 		return Decision{Verdict: Drop, Reason: NotServing}
 	}
@@ -158,7 +169,7 @@
 		return e.refuse(NoRoute), nil
 	}
 	f := e.flows[p.Flow]
-	if f != nil && f.state == opening && f.server.health.state <= suspected && !e.isEvacuated(f.server) {
+	if f != nil && f.state == opening && f.server.health.state <= suspected && e.accepts(now, f.server) {
 		if !f.server.progressedAfter(f.sentAt) {
 			f.server.health.retransmissions++
 		}
@@ -298,6 +309,7 @@
 		actions = append(actions, e.probeAgain(now, s)...)
 	}
 	actions = append(actions, e.settleClaims(now)...)
+	actions = append(actions, e.reportCold(now)...)
 	e.expire(now)
 	e.expirePeerLoads(now)
 	actions = append(actions, e.measureRates(now)...)
@@ -327,15 +339,16 @@
 	return actions
 }
 
-// Stats holds values for metrics. Listed, Usable and Failing are numbers of servers.
+// Stats holds values for metrics. Listed, Usable, Failing, Cold and Full are numbers of servers.
 type Stats struct {
-	Flows, PendingRequests, Listed, Usable, Failing int
-	Version                                         uint64
+	Flows, PendingRequests, Listed, Usable, Failing, Cold, Full int
+	KeptFromCold                                                int // opening packets that were kept from cold servers
+	Version                                                     uint64
 }
 
 // Stats returns the current values.
 func (e *Engine) Stats() Stats {
-	out := Stats{Flows: len(e.flows), Version: e.version}
+	out := Stats{Flows: len(e.flows), KeptFromCold: e.keptFromCold, Version: e.version}
 	for _, s := range e.servers {
 		out.PendingRequests += int(s.pendingRequests)
 		if s.listed {
@@ -347,6 +360,12 @@
 		if s.failures.reported {
 			out.Failing++
 		}
+		if s.listed && e.isCold(e.lastTick, s) {
+			out.Cold++
+		}
+		if s.listed && s.full() {
+			out.Full++
+		}
 	}
 	return out
 }
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -125,6 +125,9 @@
 	if elapsed != unknownElapsed { // this instance sent what the server has answered
 		s.unproven, s.answeredAt = false, now
 	}
+	if s.health.reported {
+		e.markCold(now, s, coldAnsweredAgain)
+	}
 	if s.health.state == suspected || s.health.reported {
 		e.setState(s, trusted)
 	}
@@ -255,6 +258,9 @@
 // trustAfterAnswer trusts a server that answered a probe of this instance or of a settler.
 func (e *Engine) trustAfterAnswer(now time.Duration, s *server) {
 	h := &s.health
+	if h.state >= unreachable || s.unproven {
+		e.markCold(now, s, coldAnsweredAgain)
+	}
 	e.setState(s, trusted)
 	s.unproven = false
 	h.unansweredProbes, h.inconclusive, h.nextSuspect = 0, false, now+suspectRetryInterval
@@ -310,6 +316,7 @@
 		}
 		next := e.choose(now, r)
 		if next == nil {
+			e.countPassedOver()
 			continue
 		}
 		e.assign(f, next)
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -55,6 +55,7 @@
 type appliedLoad struct {
 	server *server
 	rate   float64
+	flows  int
 }
 
 // meter measures the load that this instance's flows cause at a server and holds the load
@@ -66,6 +67,8 @@
 	quantile        float64 // of response times, in nanoseconds
 	samples         int32
 	peerRate        float64
+	peerFlows       int     // open flows of other instances
+	meanFlows       float64 // moving average of own open flows
 	peerServiceTime float64 // service time measured by a peer, in nanoseconds
 }
 
@@ -86,8 +89,8 @@
 func (e *Engine) Loads() []Load {
 	var out []Load
 	for s := range e.activeServers {
-		if rate := s.meter.rate + s.meter.expectedRate; rate > minReportedRate {
-			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: time.Duration(s.meter.meanTime())})
+		if rate := s.meter.rate + s.meter.expectedRate; rate > minReportedRate || s.flowsMatter() {
+			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: time.Duration(s.meter.meanTime()), Flows: s.reportedFlows(int(s.flows))})
 		}
 	}
 	return out
@@ -114,14 +117,14 @@
 	for _, svc := range e.services {
 		usable := make([]*server, 0, len(svc.local))
 		for _, s := range svc.local {
-			if s.usable() {
+			if s.usable() && !e.isCold(now, s) && !s.full() {
 				usable = append(usable, s)
 			}
 		}
 		slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.utilization(now), b.utilization(now)) })
 		for _, s := range usable[:min(maxLeastLoaded, len(usable))] {
 			m := &s.meter
-			out = append(out, Load{Cookie: s.cookie, Rate: m.rate + m.expectedRate + m.peerRate, ServiceTime: time.Duration(s.requestTime(now))})
+			out = append(out, Load{Cookie: s.cookie, Rate: m.rate + m.expectedRate + m.peerRate, ServiceTime: time.Duration(s.requestTime(now)), Flows: s.reportedFlows(int(s.flows) + m.peerFlows)})
 		}
 	}
 	return out
@@ -167,10 +170,11 @@
 	for _, l := range loads {
 		for _, s := range e.byCookie[l.Cookie] {
 			s.meter.peerRate += l.Rate
+			s.meter.peerFlows += l.Flows
 			if l.ServiceTime > 0 {
 				s.meter.peerServiceTime = float64(l.ServiceTime)
 			}
-			applied = append(applied, appliedLoad{s, l.Rate})
+			applied = append(applied, appliedLoad{s, l.Rate, l.Flows})
 		}
 	}
 	return applied
@@ -180,6 +184,7 @@
 	for _, c := range applied {
 		// Rounding errors must not make the rate negative.
 		c.server.meter.peerRate = max(c.server.meter.peerRate-c.rate, 0)
+		c.server.meter.peerFlows -= c.flows
 	}
 }
 
@@ -199,17 +204,24 @@
 		return nil
 	}
 	e.nextRates = now + rateInterval
+	peers := e.reportingPeers()
 	for _, s := range e.services {
-		s.rate, s.flows, s.serviceTimeSum, s.measuredServers = 0, 0, 0, 0
+		s.rate, s.flows, s.serviceTimeSum, s.measuredServers, s.peers = 0, 0, 0, 0, peers
 	}
+	var actions []Action
 	for s := range e.activeServers {
 		m := &s.meter
 		m.rate += (float64(m.arrivals)/rateInterval.Seconds() - m.rate) * rateGain
 		m.expectedRate *= 1 - rateGain
 		m.arrivals = 0
+		m.meanFlows += (float64(s.flows) - m.meanFlows) * flowsGain
+		actions = append(actions, e.reportFull(s)...)
 		if m.rate+m.expectedRate < minReportedRate {
 			m.rate, m.expectedRate = 0, 0
-			delete(e.activeServers, s)
+			if !s.fullReported && !s.flowsMatter() {
+				m.meanFlows = float64(s.flows)
+				delete(e.activeServers, s)
+			}
 		}
 		s.service.rate += m.rate
 		s.service.flows += s.flows
@@ -218,7 +230,7 @@
 			s.service.measuredServers++
 		}
 	}
-	return e.sumFailures(now)
+	return append(actions, e.sumFailures(now)...)
 }
 
 // countRequest counts a request sent to a server.
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -124,6 +124,10 @@
 	TellAlive                         // tell the instances that asked that Server is alive
 	ConfirmToPeers                    // tell the instances of the failure domain that this one resets its flows at Server
 	TellDown                          // tell the instances that asked that Server appears to be down
+	ReportCold                        // log that Server is cold and gets few opening packets
+	ReportWarm                        // log that Server is not cold any more
+	ReportFull                        // log that Server holds as many open flows as it accepts
+	ReportNotFull                     // log that Server accepts flows again
 )
 
 // Action is a task for the engine's owner that is not part of the decision for a packet.
@@ -140,5 +144,9 @@
 	// Incarnation counts the restarts of Server that this instance knows of. The result of a
 	// Probe returns it.
 	Incarnation uint32
-	Failures    float64 // decayed number of failed requests, for ReportFailing and ReportRecovered
+	Failures    float64       // decayed number of failed requests, for ReportFailing and ReportRecovered
+	Cause       string        // why Server is cold, for ReportCold and ReportWarm
+	Left        time.Duration // for which Server stays cold, for ReportCold
+	Flows       int           // open flows at Server as far as known, for ReportFull and ReportNotFull
+	MaxFlows    int           // that Server accepts, for the same
 }
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -55,6 +55,7 @@
 	listedServers   int     // servers with a record; updated only while there are failures
 	rate            float64 // requests per second of this instance's flows
 	flows           int32
+	peers           int     // instances of the own failure domain that report loads
 	serviceTimeSum  float64 // service times of the measured servers, in nanoseconds
 	measuredServers int32
 
@@ -77,6 +78,7 @@
 	shadowed         bool          // another server with the same cookie has a lower ID
 	removedAt        time.Duration
 	coldUntil        time.Duration
+	fullReported     bool          // the last report about its flows says that it is full
 	leastLoadedUntil time.Duration // until when it counts as reported by its failure domain
 
 	flows           int32 // flows in this instance's flow table that are not closing
@@ -86,6 +88,7 @@
 
 	health   serverHealth
 	failures failures // kept across restarts: a flapping server restarts often
+	cold     coldStart
 }
 
 func (s *server) target() Target { return Target{Address: s.Address, ID: s.ID, Cookie: s.cookie} }
@@ -145,7 +148,7 @@
 	e.dropClaim(s)
 	e.setRecord(s, in)
 	s.listed = true
-	s.coldUntil = now + in.ColdLeft
+	e.applyColdLeft(now, s)
 	if restarted && known {
 		s.incarnation++
 	}
@@ -154,6 +157,7 @@
 		return nil
 	}
 	s.startedAt = now
+	e.markColdAfterRecord(now, s, newProcess, returned || in.StartedAt == 0, s.health.state >= unreachable)
 	e.setState(s, trusted)
 	s.health = serverHealth{}
 	return e.contest(now, s)
@@ -265,6 +269,7 @@
 	delete(e.activeServers, s)
 	delete(e.failedServers, s)
 	delete(e.claimants, s)
+	delete(e.coldServers, s)
 	s.service.removeServer(s)
 	if e.byCookie[s.cookie] = remove(e.byCookie[s.cookie], s); len(e.byCookie[s.cookie]) == 0 {
 		delete(e.byCookie, s.cookie)
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -128,6 +128,7 @@
 	case h.reported && now < h.reportedUntil:
 		return nil
 	case h.reported:
+		e.markCold(now, s, coldAnsweredAgain) // its settlers have ended their reports
 		e.setState(s, trusted)
 		if s.unproven {
 			return e.suspect(now, s)
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -19,7 +19,11 @@
 	Rate                   float64
 	RequestTime            time.Duration
 	Utilization            float64
-	Failures               float64 // decayed number of failed requests
+	Failures               float64       // decayed number of failed requests
+	ColdLeft               time.Duration // for which its opening packets are limited; 0 if they are not
+	OwnsColdStart          bool          // this instance sends its opening packets while it is cold
+	KnownFlows             int           // open flows of all instances, as far as this one knows
+	MaxFlows               int           // open flows that it accepts; 0 for no limit
 }
 
 // FlowView is a snapshot of a tracked flow.
@@ -37,11 +41,16 @@
 	out := make([]ServerView, 0, len(e.servers))
 	for _, s := range e.servers {
 		state, reason := s.describeState(now)
+		var coldLeft time.Duration
+		if e.isCold(now, s) {
+			coldLeft = s.coldUntil - now
+		}
 		out = append(out, ServerView{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address, Cookie: s.cookie,
 			State: state, StateReason: reason, Usable: s.usable(),
 			Flows: int(s.flows), PendingRequests: int(s.pendingRequests), Rate: s.meter.rate + s.meter.peerRate,
 			RequestTime: time.Duration(s.requestTime(now)), Utilization: s.utilization(now), Failures: s.failures.value(now),
+			ColdLeft: coldLeft, OwnsColdStart: coldLeft > 0 && e.ownsColdStart(now, s), KnownFlows: int(s.flows) + s.flowsOfPeers(), MaxFlows: s.service.limits.MaxFlows,
 		})
 	}
 	slices.SortFunc(out, func(a, b ServerView) int {
@@ -51,7 +60,7 @@
 }
 
 // ServerStates lists the possible values of ServerView.State.
-var ServerStates = []string{"trusted", "cold", "failing", "suspected", "unproven", "shadowed", "draining", "unreachable", "refusing", "gone", "dead"}
+var ServerStates = []string{"trusted", "cold", "full", "failing", "suspected", "unproven", "shadowed", "draining", "unreachable", "refusing", "gone", "dead"}
 
 // describeState returns the server's state, one of ServerStates, and the reason for it.
 func (s *server) describeState(now time.Duration) (state, reason string) {
@@ -78,7 +87,9 @@
 	case s.failing(now):
 		return "failing", "requests make no progress"
 	case now < s.coldUntil:
-		return "cold", "it has just started"
+		return "cold", coldReasonTexts[s.cold.reason]
+	case s.full():
+		return "full", "it holds about as many open flows as it accepts"
 	}
 	return "trusted", ""
 }
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -137,10 +138,10 @@
 
 func (r forwardersResult) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "FAILURE DOMAIN\tINSTANCE\tSTATUS ADDRESS\tSTATE\tVERSION\tERA\tREVISION\tAGE\tWATCHES\tALIVE PEERS\tFLOWS\tREQUESTS")
+	fmt.Fprintln(t, "FAILURE DOMAIN\tINSTANCE\tSTATUS ADDRESS\tSTATE\tVERSION\tERA\tREVISION\tAGE\tWATCHES\tALIVE PEERS\tFLOWS\tREQUESTS\tCOLD\tFULL")
 	for _, s := range r.Instances {
 		if s.Error != "" {
-			fmt.Fprintf(t, "?\t?\t%s\tunreachable\t\t\t\t\t\t\t\t\n", s.Address)
+			fmt.Fprintf(t, "?\t?\t%s\tunreachable\t\t\t\t\t\t\t\t\t\t\n", s.Address)
 			continue
 		}
 		alive := 0
@@ -149,8 +150,8 @@
 				alive++
 			}
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%t\t%d/%d\t%d\t%d\n", s.Domain, s.Instance, s.Address, s.State, s.Version, s.Era, s.Revision,
-			formatAge(s.RecordsAge), s.Watching, alive, len(s.Members), s.Flows, s.PendingRequests)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%t\t%d/%d\t%d\t%d\t%d\t%d\n", s.Domain, s.Instance, s.Address, s.State, s.Version, s.Era, s.Revision,
+			formatAge(s.RecordsAge), s.Watching, alive, len(s.Members), s.Flows, s.PendingRequests, s.ColdServers, s.FullServers)
 	}
 	t.Flush()
 	for _, s := range r.Instances {
@@ -189,6 +190,8 @@
 	view.Server
 	// InstancesByState lists the instances that report each state.
 	InstancesByState map[string][]string `json:"judgements"`
+	// ColdOwners lists the instances that send opening packets to the server while it is cold.
+	ColdOwners []string `json:"cold_owners,omitempty"`
 }
 
 type serversResult struct {
@@ -198,9 +201,9 @@
 
 func (r serversResult) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "SERVICE\tBACKEND SERVER\tFAILURE DOMAIN\tADDRESS\tFLOWS\tREQUESTS\tUSE\tSTATE\tWHY")
+	fmt.Fprintln(t, "SERVICE\tBACKEND SERVER\tFAILURE DOMAIN\tADDRESS\tFLOWS\tLIMIT\tREQUESTS\tUSE\tSTATE\tWHY")
 	for _, s := range r.Servers {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%.0f%%\t%s\t%s\n", s.Service, s.Name, s.Domain, s.Address, s.Flows, s.PendingRequests, 100*s.Utilization, s.stateSummary(), s.StateReason)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%.0f%%\t%s\t%s\n", s.Service, s.Name, s.Domain, s.Address, s.Flows, s.limit(), s.PendingRequests, 100*s.Utilization, s.stateSummary(), s.reason())
 	}
 	t.Flush()
 	for _, e := range r.Errors {
@@ -208,6 +211,27 @@
 	}
 }
 
+// limit returns the number of open flows that the server accepts.
+func (s *mergedServer) limit() string {
+	if s.MaxFlows == 0 {
+		return "-"
+	}
+	return strconv.Itoa(s.MaxFlows)
+}
+
+// reason returns the reason for the state and, for a cold server, for how long its opening packets
+// are limited and which instance sends them.
+func (s *mergedServer) reason() string {
+	if s.ColdLeft == 0 {
+		return s.StateReason
+	}
+	owners := "no instance"
+	if len(s.ColdOwners) > 0 {
+		owners = strings.Join(s.ColdOwners, ", ")
+	}
+	return fmt.Sprintf("%s; few opening packets for %.1fs, only from %s", s.StateReason, s.ColdLeft, owners)
+}
+
 // stateSummary returns the common state, or each reported state with its number of instances.
 func (s *mergedServer) stateSummary() string {
 	if len(s.InstancesByState) == 1 {
@@ -271,6 +295,9 @@
 				merged.Server = s
 			}
 			merged.Flows, merged.PendingRequests = flows, pending
+			if s.OwnsColdStart {
+				merged.ColdOwners = append(merged.ColdOwners, instance.Instance)
+			}
 			merged.InstancesByState[s.State] = append(merged.InstancesByState[s.State], instance.Instance)
 		}
 	}
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -76,13 +76,21 @@
 	if a.Kind == forwarding.ReportFailing || a.Kind == forwarding.ReportRecovered {
 		e.Float64("failures", a.Failures)
 	}
+	switch a.Kind {
+	case forwarding.ReportCold:
+		e.Str(logging.Reason, a.Cause).Dur("cold_left", a.Left)
+	case forwarding.ReportWarm:
+		e.Str(logging.Reason, a.Cause)
+	case forwarding.ReportFull, forwarding.ReportNotFull:
+		e.Int("flows", a.Flows).Int("limit", a.MaxFlows)
+	}
 	if a.Kind < forwarding.ReportToPeers {
 		e.Stringer("flow", a.Flow).Stringer(logging.Reason, a.Reason)
 	}
 	e.Msg(actionEvents[a.Kind])
 }
 
-var actionEvents = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected", "server_disfavoured", "server_favoured", "settlers_asked", "askers_told_alive", "peers_told_of_resets", "askers_told_down"}
+var actionEvents = [...]string{"flow_reset", "opening_packet_moved", "peers_told", "server_suspected", "server_disfavoured", "server_favoured", "settlers_asked", "askers_told_alive", "peers_told_of_resets", "askers_told_down", "server_cold", "server_warm", "server_full", "server_below_limit"}
 
 func (l *eventLog) logProbe(server string, r forwarding.ProbeResult, err error) {
 	e := l.newEvent(zerolog.InfoLevel)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -105,6 +105,8 @@
 		NewFlowsPerPrefix: s.NewFlowsPerPrefix,
 		Settles:           func(cookie uint32) bool { return f.mesh.Settles(f.now(), cookie) },
 		RecordsCurrent:    func() bool { return f.mesh.Fresh(f.now()) },
+		ColdStart:         forwarding.ColdStart{Overage: s.ColdOverage, Slack: s.ColdSlack},
+		OwnsColdStart:     func(cookie uint32) bool { return f.mesh.OwnsColdStart(f.now(), cookie) },
 		Seed:              rand.Uint64(),
 	})
 	f.settings.Store(&s)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -52,6 +52,9 @@
 	gauge("forwarder_servers{state=\"usable\"}", func(s forwarding.Stats) float64 { return float64(s.Usable) })
 	gauge("forwarder_servers{state=\"listed\"}", func(s forwarding.Stats) float64 { return float64(s.Listed) })
 	gauge("forwarder_servers{state=\"failing\"}", func(s forwarding.Stats) float64 { return float64(s.Failing) })
+	gauge("forwarder_servers{state=\"cold\"}", func(s forwarding.Stats) float64 { return float64(s.Cold) })
+	gauge("forwarder_servers{state=\"full\"}", func(s forwarding.Stats) float64 { return float64(s.Full) })
+	gauge("forwarder_opening_packets_kept_from_cold_servers_total", func(s forwarding.Stats) float64 { return float64(s.KeptFromCold) })
 	set.NewGauge("forwarder_records_revision", func() float64 {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/forwarder/status.go
+++ b/internal/forwarder/status.go
@@ -25,6 +25,7 @@
 	now := f.now()
 	stats := f.engine.Stats()
 	out.Version, out.Flows, out.PendingRequests = stats.Version, stats.Flows, stats.PendingRequests
+	out.ColdServers, out.FullServers, out.KeptFromCold = stats.Cold, stats.Full, stats.KeptFromCold
 	asOf := f.table.AsOf()
 	out.Era, out.Revision, out.Watching = asOf.Era(), asOf.Revision(), f.mesh.Watching()
 	if age, ok := f.mesh.ConfirmationAge(now); ok {
@@ -42,7 +43,7 @@
 		out.Servers = append(out.Servers, view.Server{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address.String(), Cookie: s.Cookie, State: s.State, StateReason: s.StateReason,
 			GetsNewFlows: s.Usable, Flows: s.Flows, PendingRequests: s.PendingRequests, Rate: s.Rate, RequestTime: s.RequestTime.Seconds(),
-			Utilization: s.Utilization, Failures: s.Failures,
+			Utilization: s.Utilization, Failures: s.Failures, ColdLeft: s.ColdLeft.Seconds(), OwnsColdStart: s.OwnsColdStart, KnownFlows: s.KnownFlows, MaxFlows: s.MaxFlows,
 		})
 	}
 	return out
--- a/internal/forwarder/view/view.go
+++ b/internal/forwarder/view/view.go
@@ -20,6 +20,9 @@
 	RecordsAge      *float64 `json:"records_age_s"`    // time since the records were last known to be current; null if never
 	Flows           int      `json:"flows"`
 	PendingRequests int      `json:"requests_under_way"`
+	ColdServers     int      `json:"cold_backend_servers"`
+	FullServers     int      `json:"full_backend_servers"`
+	KeptFromCold    int      `json:"opening_packets_kept_from_cold_servers"`
 	Members         []Member `json:"members"`
 	Servers         []Server `json:"backend_servers"`
 }
@@ -51,7 +54,11 @@
 	Rate            float64 `json:"requests_per_s"`     // from the whole failure domain
 	RequestTime     float64 `json:"request_time_s"`
 	Utilization     float64 `json:"utilization"`
-	Failures        float64 `json:"failures"` // number of failed requests, decaying over time
+	Failures        float64 `json:"failures"`                  // number of failed requests, decaying over time
+	ColdLeft        float64 `json:"cold_left_s,omitempty"`     // for which its opening packets are limited
+	OwnsColdStart   bool    `json:"owns_cold_start,omitempty"` // this instance sends the opening packets of the cold server
+	KnownFlows      int     `json:"known_flows"`               // of all instances, as far as this one knows
+	MaxFlows        int     `json:"max_flows,omitempty"`       // that the server accepts; 0 for no limit
 }
 
 // Flow is the state of a flow at the instance.
