--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -72,6 +72,7 @@
 // serverHealth is what this instance knows about a server from its packets and probes.
 type serverHealth struct {
 	state              healthState
+	wasDown            bool // it was unreachable, refusing or dead since it was last trusted
 	probing            bool
 	replaced           bool          // another server has answered at the server's address
 	retransmissions    int           // client retransmissions since the last progress
@@ -110,6 +111,7 @@
 // setState sets a server's state and updates the set of servers that are not trusted.
 func (e *Engine) setState(s *server, state healthState) {
 	s.health.state, s.health.reported, s.health.replaced = state, false, false
+	s.health.wasDown = state >= unreachable || state == suspected && s.health.wasDown
 	if state == trusted {
 		s.health.asked = false
 		delete(e.untrustedServers, s)
@@ -125,10 +127,10 @@
 	if elapsed != unknownElapsed { // this instance sent what the server has answered
 		s.unproven, s.answeredAt = false, now
 	}
-	if s.health.reported {
-		e.markCold(now, s, coldAnsweredAgain)
-	}
 	if s.health.state == suspected || s.health.reported {
+		if s.health.wasDown {
+			e.markCold(now, s, coldAnsweredAgain)
+		}
 		e.setState(s, trusted)
 	}
 	e.recordAnswer(now, s, elapsed)
@@ -258,7 +260,7 @@
 // trustAfterAnswer trusts a server that answered a probe of this instance or of a settler.
 func (e *Engine) trustAfterAnswer(now time.Duration, s *server) {
 	h := &s.health
-	if h.state >= unreachable || s.unproven {
+	if h.wasDown || s.unproven {
 		e.markCold(now, s, coldAnsweredAgain)
 	}
 	e.setState(s, trusted)
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -157,10 +157,17 @@
 		return nil
 	}
 	s.startedAt = now
-	e.markColdAfterRecord(now, s, newProcess, returned || in.StartedAt == 0, s.health.state >= unreachable)
+	wasDown := s.health.wasDown
+	e.markColdAfterRecord(now, s, newProcess, returned || in.StartedAt == 0, wasDown)
 	e.setState(s, trusted)
 	s.health = serverHealth{}
-	return e.contest(now, s)
+	actions := e.contest(now, s)
+	if wasDown && e.limitsColdStarts() {
+		// The record may be older than what made the server count as down. If so, its next answer
+		// is that of yet another process.
+		actions = append(actions, e.suspectWithProbe(now, s)...)
+	}
+	return actions
 }
 
 // RemoveServer applies the removal of a record. in holds the record's last value and the
