--- a/forwarding/benchmark_test.go
+++ b/forwarding/benchmark_test.go
@@ -101,3 +101,47 @@
 		t.Errorf("%d flows and %d opening packets are stored, limit 100", len(e.flows), len(e.pending))
 	}
 }
+
+// newLimitedEngine returns a populated engine with limits of open flows and of cold servers; the
+// servers of its own failure domain are cold or warm.
+func newLimitedEngine(servers int, cold, owner bool) *Engine {
+	e, _ := newPopulatedEngine(servers, 100)
+	e.cfg.ColdStart, e.cfg.OwnsColdStart = ColdStart{Overage: 1.5, Slack: 5}, func(uint32) bool { return owner }
+	e.services["orders"].limits = ServiceLimits{MaxFlows: 2000, ColdStart: time.Hour}
+	for _, s := range e.services["orders"].local {
+		if cold {
+			e.markCold(0, s, coldEvacuationEnded)
+		}
+	}
+	return e
+}
+
+// BenchmarkOpenWithLimits measures the choice of a server for a new flow with limits of open flows
+// and of cold servers: all are warm, those of the own failure domain have just returned, or this
+// instance owns them as well. The target is 1 us without allocations.
+func BenchmarkOpenWithLimits(b *testing.B) {
+	for _, c := range []struct {
+		name        string
+		cold, owner bool
+	}{{"warm", false, false}, {"cold", true, false}, {"owned", true, true}} {
+		b.Run(c.name, func(b *testing.B) {
+			e := newLimitedEngine(12000, c.cold, c.owner)
+			r := e.routes[routeKey{10, 443}]
+			b.ReportAllocs()
+			now := time.Millisecond
+			for b.Loop() {
+				now += time.Millisecond
+				e.countOpeningPacket(now, e.choose(now, r))
+			}
+		})
+	}
+}
+
+// Guards against allocations for each new flow at servers with limits.
+func TestLimitsDoNotAllocate(t *testing.T) {
+	e := newLimitedEngine(1000, true, true)
+	now, r := time.Millisecond, e.routes[routeKey{10, 443}]
+	if n := testing.AllocsPerRun(1000, func() { now += time.Millisecond; e.countOpeningPacket(now, e.choose(now, r)) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
