--- a/forwarding/coldstart_test.go
+++ b/forwarding/coldstart_test.go
@@ -320,3 +320,46 @@
 		t.Errorf("actions %v, gets new flows: %v", actions, e.servers["1"].usable())
 	}
 }
+
+// Guards against decisions that change without the settings and limits: an engine that knows cold
+// rates and times, but no settings, decides as one that knows nothing of them.
+func TestNothingChangesWithoutLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []*Engine
+		for n := range 2 {
+			e := New(Config{Domain: "a", CookieLifetime: time.Minute, MaxFlows: 100, Seed: 5, OwnsColdStart: func(uint32) bool { return false }})
+			c := &Configuration{Version: 1, HealthPaths: map[string]string{"orders": "/"}, Routes: []Route{{Address: 10, Port: 443, Services: []ServiceWeight{{"orders", 1}}}}}
+			if n == 1 {
+				c.Limits = map[string]ServiceLimits{"orders": {ColdStart: coldTime, ColdRate: 1}}
+			}
+			e.Configure(0, c)
+			e.SetComplete()
+			engines = append(engines, e)
+		}
+		var now time.Duration
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			id, event := rapid.IntRange(0, 2).Draw(t, "server"), rapid.IntRange(0, 6).Draw(t, "event")
+			coldLeft := time.Duration(rapid.IntRange(0, 2).Draw(t, "cold")) * time.Second
+			var results [2]string
+			for n, e := range engines {
+				switch event {
+				case 0:
+					results[n] = fmt.Sprint(e.PutServer(now, Server{Name: serverName(id), ID: uint64(id + 1), Service: "orders", Domain: "a", Slots: 2, Address: serverAddress(id),
+						ColdLeft: coldLeft, StartedAt: int64(step / 9), Sequence: uint64(step), Revision: uint64(step + 1)}))
+				case 1:
+					results[n] = fmt.Sprint(e.Suspect(now, uint32(id+1)), e.ApplyProbeResult(now, serverName(id), ProbeResult{Outcome: ProbeOutcome(step % 3)}))
+				case 2:
+					results[n] = fmt.Sprint(e.Tick(now), e.Loads(), e.LeastLoadedServers(now))
+				default:
+					d, actions := e.Packet(now, Packet{Flow: FlowKey{Client: uint32(step), Service: 10, ServicePort: 443}, Open: true}, []byte("syn"))
+					results[n] = fmt.Sprint(d, actions)
+				}
+			}
+			// Maps have no order, so only the results that do not list several servers are compared.
+			if event != 2 && results[0] != results[1] {
+				t.Fatalf("step %d: %s with limits in the configuration, %s without", step, results[1], results[0])
+			}
+		}
+	})
+}
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -82,6 +82,8 @@
 	"forwarder grace-period":            {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
 	"forwarder configuration-bound":     {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
 	"forwarder drain-bound":             {"duration", "100ms to 24h", []string{"100ms", "24h"}, []string{"99ms", "25h"}},
+	"forwarder cold-overage":            {"", "0 to 1000000", []string{"0", "1.5", "1000000"}, []string{"-0.1", "1000001", "NaN"}},
+	"forwarder cold-slack":              {"flows/s", "0 to 1000000", []string{"0", "5"}, []string{"-1", "1000001", "+Inf"}},
 	"forwarder first-start":             {"", "true or false", []string{"true", "false"}, []string{"", "maybe"}},
 	"forwarder log-level":               {"", levelNames, strings.Split(levelNames, ", "), []string{"", "trace"}},
 }
