--- a/forwarding/evacuate.go
+++ b/forwarding/evacuate.go
@@ -30,7 +30,7 @@
 		if s.evacuated = active; active {
 			continue
 		}
-		e.markCold(now, s)
+		e.markCold(now, s, coldEvacuationEnded)
 		if s.health.reported {
 			// The settlers have not probed the server, and so not repeated their report, during the
 			// evacuation. They probe it now.
@@ -39,11 +39,6 @@
 	}
 }
 
-// markCold makes the server count as cold for as long as its service says.
-func (e *Engine) markCold(now time.Duration, s *server) {
-	s.coldUntil = max(s.coldUntil, now+s.service.limits.ColdStart)
-}
-
 // KnowsDomain reports whether a server names the failure domain.
 func (e *Engine) KnowsDomain(domain string) bool {
 	for _, s := range e.servers {
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -74,7 +74,7 @@
 	"forwarder metrics-address":         {"", "IP address and port, or empty", []string{"", "127.0.0.1:9464"}, []string{"localhost:1"}},
 	"forwarder evacuation-bound":        {"duration", "0s, or 100ms to 24h", []string{"0s", "100ms", "24h"}, []string{"99ms", "-1s", "25h"}},
 	"forwarder cold-overage":            {"factor", "0 to 1000000", []string{"0", "1.5", "1000000"}, []string{"-0.1", "NaN", "1000001"}},
-	"forwarder cold-slack":              {"flows/s", "0 to 1000000", []string{"0", "5", "1000000"}, []string{"-1", "NaN", "1000001"}},
+	"forwarder cold-slack":              {"flows/s", "0 to 1000000", []string{"0", "5", "1000000"}, []string{"-1", "NaN", "+Inf", "1000001"}},
 	"forwarder peer-address":            {"", "IPv4 address and port; required", []string{"127.0.0.1:1"}, []string{"", "127.0.0.1"}},
 	"forwarder advertised-peer-address": {"", "IPv4 address and port, or empty", []string{"", "127.0.0.1:1"}, []string{"localhost:1", "127.0.0.1:0"}},
 	"forwarder seeds":                   {"", "IP addresses and ports, separated by commas, or empty", []string{"", "127.0.0.2:1,127.0.0.3:1"}, []string{"somewhere"}},
