Soak: evacuations, cold starts and connection limits

Cause: operators' evacuations, servers that start cold and limits of open flows were not part of the soak test, so that nothing showed whether forwarder processes keep to them under faults.

Operators evacuate failure domains, also unknown ones, beside kills, restored stores, moved and added servers, and write records that cannot be read. Servers of a domain restart together and come back cold, some with a late record. The server stand-ins count open flows and say in their records how long they are cold. Checks: no opening packet at a server of an evacuated domain later than the bound; at most the limit of opening packets at a cold server in any second; open flows within maxConns while another server has room. Seeds without the features keep their sequence of faults.

--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -28,6 +28,7 @@
 
 	recordSequence atomic.Uint64 // number of records written
 	startedAt      time.Time
+	coldFor        atomic.Int64 // nanoseconds after the start for which records say that the server is cold
 
 	mu       sync.Mutex
 	flows    map[netip.AddrPort]*serverFlow
@@ -38,6 +39,8 @@
 }
 
 type serverFlow struct {
+	open         bool // the client has acknowledged the response to its SYN and has sent neither FIN nor RST
+	lastPacket   time.Time
 	cookie       uint32
 	sequence     uint32
 	nextSequence uint32 // expected sequence number of the client's next data
@@ -120,10 +123,30 @@
 	return s.counters
 }
 
+// SetCold makes the server's records say that it is cold until the given time after its start.
+func (s *Server) SetCold(d time.Duration) { s.coldFor.Store(int64(d)) }
+
+// StartedAt returns when the server's process started.
+func (s *Server) StartedAt() time.Time { return s.startedAt }
+
+// OpenFlows returns the number of flows that are open and had a packet within idleTimeout.
+func (s *Server) OpenFlows(idleTimeout time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, f := range s.flows {
+		if f.open && time.Since(f.lastPacket) < idleTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // Record returns the server's record for the platform's metadata store.
 func (s *Server) Record(state string) []byte {
+	coldLeft := max(0, time.Duration(s.coldFor.Load())-time.Since(s.startedAt))
 	b, _ := json.Marshal(map[string]any{"service": s.Service, "address": s.address.String(), "zone": s.Domain, "version": "v1",
-		"slots": 2, "state": state, "coldLeftMs": 0, "sequence": s.recordSequence.Add(1), "born": s.startedAt.UnixMilli()})
+		"slots": 2, "state": state, "coldLeftMs": coldLeft.Milliseconds(), "sequence": s.recordSequence.Add(1), "born": s.startedAt.UnixMilli()})
 	return b
 }
 
@@ -153,7 +176,12 @@
 }
 
 func (s *Server) handlePacket(id uint64, via netip.Addr, p Packet) {
-	switch f := s.flows[p.Source]; {
+	f := s.flows[p.Source]
+	if f != nil && p.ChecksumValid && (id == 0 || id == s.numericID()) {
+		f.open = p.Flags&(SYN|FIN|RST) == 0
+		f.lastPacket = time.Now()
+	}
+	switch {
 	case id != 0 && id != s.numericID():
 		s.counters.Misdelivered++
 	case !p.ChecksumValid:
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -120,6 +120,12 @@
 	if (to.Addr() == catalogueAddr.Addr()) != (s.Service == "catalogue") {
 		d.recordViolation("server %s of service %s received a flow for address %s from %s", s.ID, s.Service, to, via)
 	}
+	for _, in := range d.instances {
+		if in.ip == via {
+			d.checkEvacuated(s, in)
+			d.checkColdStart(s, in)
+		}
+	}
 	s.mu.Lock()
 	drainedAt := s.drainedAt
 	s.mu.Unlock()
@@ -203,8 +209,11 @@
 // faults are active, and checks that the next configuration is used within maxPropagationDelay.
 // The store gives it a revision that it had given out before.
 func (d *deployment) checkChangeAfterRestore() {
-	time.Sleep(settleTime + settleTime/2)
+	time.Sleep(settleTime)
+	d.reconnect()
+	time.Sleep(settleTime / 2)
 	older := d.store.Copy()
+	first, second := d.evacuateAnotherDomain()
 	for range 3 {
 		d.acceptNextVersion()
 	}
@@ -218,6 +227,7 @@
 	d.acceptNextVersion()
 	time.Sleep(maxPropagationDelay)
 	d.checkVersionActive("after the store was restored from an older copy")
+	d.checkEvacuations(first, second)
 }
 
 // watchesStore reports whether the instance watches the store itself.
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -98,11 +98,16 @@
 	faultsOver     bool                 // no fault may begin any more
 	writesLost     bool                 // the store was restored and nothing has been written again yet
 	servers        []*server
+	evacuations    map[string]*evacuation // by failure domain, also those that have ended
+	peerFaultsEnd  time.Time              // end of the last fault between instances
+	traffic        bool                   // clients send requests, so that servers start cold
 	nextID         int
 
-	instances []*instance
-	served    atomic.Int64
-	tried     atomic.Int64
+	uses         features
+	reconnecting *flows.Client // opens many flows at once
+	instances    []*instance
+	served       atomic.Int64
+	tried        atomic.Int64
 }
 
 // server is a backend server with its lifecycle state.
@@ -112,6 +117,10 @@
 	drainedAt time.Time  // when the store recorded that it is draining
 	stoppedAt time.Time  // when its process ended
 	records   [][]byte   // what it has written into the store
+
+	movedAt      time.Time // when the process started, if its record names another failure domain than that of the one before
+	cold         coldRule
+	coldOpenings []time.Time // opening packets that count for the limit of a cold server, of the last second
 }
 
 func (s *server) key() string { return wire.ServerPrefix + s.ID }
@@ -144,12 +153,14 @@
 	highestVersion uint64    // highest version seen since the process started
 	stopping       bool      // received SIGTERM and has not been restarted yet
 	paused         bool      // received SIGSTOP and no SIGCONT since
+	startedAt      time.Time // of the process
+	cleanStart     bool      // it started after all faults, when the store had been free of faults for settleTime
 }
 
 func (in *instance) domain() int { return in.index % domainCount }
 
 func newDeployment(o Options) (*deployment, error) {
-	d := &deployment{options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: metastore.New(), faultCounts: make(map[string]int)}
+	d := &deployment{options: o, uses: featuresOf(o.Seed), evacuations: make(map[string]*evacuation), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: metastore.New(), faultCounts: make(map[string]int)}
 	server := httptest.NewServer(d.store.Handler())
 	d.cleanups = append(d.cleanups, server.Close)
 	d.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
@@ -194,11 +205,11 @@
 	defer d.mu.Unlock()
 	d.version++
 	route := func(a netip.AddrPort, service string) string {
-		return fmt.Sprintf(`{"name":"r%s","host":%q,"prefix":"/%d/","kind":"idempotent","service":%q}`, a, a.Addr(), a.Port(), service)
+		return fmt.Sprintf(`{"name":"r%s","host":%q,"prefix":"/%d/","kind":"idempotent","service":%q%s}`, a, a.Addr(), a.Port(), service, d.uses.routeFields(service))
 	}
 	routes := []string{route(ordersAddr, "orders"), route(catalogueAddr, "catalogue"), route(netip.AddrPortFrom(ordersAddr.Addr(), uint16(10000+d.version)), "orders")}
-	d.configuration = []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"orders","healthPath":"/health"},{"name":"catalogue","healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}}`,
-		d.version, strings.Join(routes, ",")))
+	d.configuration = []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"orders","healthPath":"/health"%s},{"name":"catalogue","healthPath":"/health"%s}],"limits":{"idleTimeoutMs":%d}}`,
+		d.version, strings.Join(routes, ","), d.uses.serviceFields(), d.uses.serviceFields(), idleTimeout.Milliseconds()))
 	d.store.Put(wire.ConfigurationKey, d.configuration)
 	d.acceptedAt = time.Now()
 }
@@ -209,13 +220,16 @@
 	d.nextID++
 	n := d.nextID
 	d.mu.Unlock()
-	d.startServer(fmt.Sprintf("i-%08x", n), service, fmt.Sprint("d", domain), netip.AddrPortFrom(d.nthAddr(firstServerAddr, n), d.ports[0]))
+	d.startServer(fmt.Sprintf("i-%08x", n), service, domainName(domain), netip.AddrPortFrom(d.nthAddr(firstServerAddr, n), d.ports[0]), 0)
 }
 
+func domainName(domain int) string { return fmt.Sprint("d", domain) }
+
 // serverWork is the time that servers need for a request, by the last digit of their address.
 var serverWork = []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
 
-func (d *deployment) startServer(id, service, domain string, addr netip.AddrPort) {
+// startServer starts the process of a server, which writes its record after recordDelay.
+func (d *deployment) startServer(id, service, domain string, addr netip.AddrPort, recordDelay time.Duration) {
 	host, err := flows.StartServer(id, service, domain, addr, d.ports[0])
 	if err != nil {
 		d.recordViolation("start backend server stand-in: %v", err)
@@ -224,11 +238,20 @@
 	b := addr.Addr().As4()
 	host.SetWork(serverWork[int(b[3])%len(serverWork)])
 	s := &server{Server: host}
-	host.OnOpen(func(via netip.Addr, to netip.AddrPort) { d.checkNewFlow(s, via, to) })
 	d.mu.Lock()
+	d.compareWithEarlier(s)
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	s.write(d.store)
+	host.OnOpen(func(via netip.Addr, to netip.AddrPort) { d.checkNewFlow(s, via, to) })
+	if recordDelay == 0 {
+		s.write(d.store)
+		return
+	}
+	time.AfterFunc(recordDelay, func() {
+		if s.alive() {
+			s.write(d.store)
+		}
+	})
 }
 
 func (d *deployment) addInstance(index int) error {
@@ -244,7 +267,7 @@
 	}
 	d.cleanups = append(d.cleanups, in.peerLink.close)
 	settings := fmt.Sprintf("instance-id=%s\nfailure-domain=d%d\ndatagram-address=%s\nready-address=%s\npeer-address=%s\nadvertised-peer-address=%s\nseeds=%s:1,%s:1\nstore-address=%s\n",
-		in.name, in.domain(), addrAt(0), addrAt(1), addrAt(2), in.peerLink.address(), d.nthAddr(firstPeerLinkAddr, 0), d.nthAddr(firstPeerLinkAddr, 2), in.storeLink.address())
+		in.name, in.domain(), addrAt(0), addrAt(1), addrAt(2), in.peerLink.address(), d.nthAddr(firstPeerLinkAddr, 0), d.nthAddr(firstPeerLinkAddr, 2), in.storeLink.address()) + d.uses.settings()
 	file := filepath.Join(d.options.Dir, in.name+".conf")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
@@ -271,9 +294,10 @@
 		for {
 			cmd := exec.Command(in.deployment.options.ForwarderPath, "--settings-file", file)
 			cmd.Stdout, cmd.Stderr = out, out
+			clean := in.deployment.freeOfFaults()
 			in.mu.Lock()
 			in.highestVersion, in.stopping, in.paused = 0, false, false
-			in.lastFault = time.Now()
+			in.lastFault, in.startedAt, in.cleanStart = time.Now(), time.Now(), clean
 			err := cmd.Start()
 			in.cmd = cmd
 			in.mu.Unlock()
@@ -328,6 +352,13 @@
 	return time.Since(lastFault) > settleTime && time.Since(in.deployment.lastStoreFault) > settleTime
 }
 
+// freeOfFaults reports whether no fault may begin any more and the store has had none for settleTime.
+func (d *deployment) freeOfFaults() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.faultsOver && time.Since(d.lastStoreFault) > settleTime
+}
+
 // getPage fetches a page from the instance's readiness endpoint and reports whether the
 // response status was 200.
 func (in *instance) getPage(path string) (string, bool) {
--- a/test/soak/entries.go
+++ b/test/soak/entries.go
@@ -21,7 +21,10 @@
 		d.mu.Unlock()
 		for _, s := range servers {
 			s.mu.Lock()
-			alive, last := s.stoppedAt.IsZero(), s.records[len(s.records)-1]
+			alive, last := s.stoppedAt.IsZero() && len(s.records) > 0, []byte(nil)
+			if alive {
+				last = s.records[len(s.records)-1]
+			}
 			s.mu.Unlock()
 			if alive && !writesLost && !bytes.Equal(d.store.Value(s.key()), last) {
 				s.write(d.store)
@@ -65,7 +68,7 @@
 			service = map[string]string{"orders": "catalogue", "catalogue": "orders"}[service]
 		}
 	}
-	time.AfterFunc(after, func() { d.startServer(id, service, s.Domain, s.Address()) })
+	time.AfterFunc(after, func() { d.startServer(id, service, s.Domain, s.Address(), 0) })
 }
 
 // writeLate lets the store execute up to three earlier writes of servers that run or have ended.
@@ -77,8 +80,12 @@
 	for range 1 + d.rng.IntN(3) {
 		s := servers[d.rng.IntN(len(servers))]
 		s.mu.Lock()
-		record := s.records[d.rng.IntN(len(s.records))]
+		records := s.records
 		s.mu.Unlock()
+		if len(records) == 0 {
+			continue // its first record is late
+		}
+		record := records[d.rng.IntN(len(records))]
 		at += d.randomDuration(400)
 		time.AfterFunc(at, func() { d.store.Put(s.key(), record) })
 		d.lapse(s.key(), at+3*heartbeat)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -47,6 +47,7 @@
 	{"malformed entry", func(d *deployment, _ *instance) { d.writeMalformedEntry() }},
 	{"peers not heard", func(d *deployment, in *instance) {
 		in.peerLink.stalled.Store(true)
+		d.markPeerFault(4 * time.Second)
 		d.endFault("peer link stalled "+in.name, d.randomDuration(4000), func() { in.peerLink.stalled.Store(false) })
 	}},
 	{"not heard by peers", func(d *deployment, in *instance) { d.dropPeerDatagrams(in, func(*instance) bool { return true }) }},
@@ -62,15 +63,17 @@
 	}},
 	{"peer link slow", func(d *deployment, in *instance) {
 		in.peerLink.delay.Store(int64(d.randomDuration(400)))
+		d.markPeerFault(4 * time.Second)
 		d.endFault("peer link slow "+in.name, d.randomDuration(4000), func() { in.peerLink.delay.Store(0) })
 	}},
-	{"peer connections reset", func(_ *deployment, in *instance) { in.peerLink.reset() }},
+	{"peer connections reset", func(d *deployment, in *instance) { d.markPeerFault(0); in.peerLink.reset() }},
 }
 
 // injectFault injects a random fault, passing it a random instance.
 func (d *deployment) injectFault() {
 	in := d.instances[d.rng.IntN(len(d.instances))]
-	f := faults[d.rng.IntN(len(faults))]
+	kinds := d.uses.faults()
+	f := kinds[d.rng.IntN(len(kinds))]
 	d.mu.Lock()
 	d.faultCounts[f.name]++
 	d.mu.Unlock()
@@ -86,6 +89,7 @@
 // random duration.
 func (d *deployment) dropPeerDatagrams(in *instance, listeners func(*instance) bool) {
 	d.setPeerDatagramsDropped(in, listeners, true)
+	d.markPeerFault(4 * time.Second)
 	time.AfterFunc(d.randomDuration(4000), func() { d.setPeerDatagramsDropped(in, listeners, false) })
 }
 
@@ -169,6 +173,7 @@
 	if !bytes.Equal(d.store.Value(wire.ConfigurationKey), d.configuration) {
 		d.store.Put(wire.ConfigurationKey, d.configuration)
 	}
+	d.writeEvacuationsAgain()
 	for _, s := range d.servers {
 		s.mu.Lock()
 		stopped := !s.stoppedAt.IsZero()
@@ -194,6 +199,9 @@
 		}
 		s.mu.Unlock()
 	}
+	if len(usable) == 0 {
+		return nil
+	}
 	s := usable[d.rng.IntN(len(usable))]
 	if count[s.Service] < 2 {
 		return nil
@@ -254,6 +262,7 @@
 	d.mu.Unlock()
 	d.setStoreFault(metastore.NoFault, 0)
 	d.writeAgain()
+	d.endAllEvacuations()
 	for _, in := range d.instances {
 		in.storeLink.clearFaults()
 		in.peerLink.clearFaults()
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -29,6 +29,7 @@
 	Seed           uint64         `json:"seed"`
 	Instances      int            `json:"instances"`
 	ElapsedSeconds float64        `json:"elapsed_s"`
+	Features       string         `json:"features"` // that the deployment of the seed uses
 	RequestsTried  int64          `json:"requests_tried"`
 	RequestsServed int64          `json:"requests_served"`
 	Version        int            `json:"config_version"`
@@ -61,6 +62,10 @@
 	defer cancel()
 	var workers sync.WaitGroup
 	defer workers.Wait()
+	if d.reconnecting, err = flows.StartClient(netip.AddrPortFrom(d.nthAddr(firstClientAddr, o.Clients), d.ports[0])); err != nil {
+		return Result{}, err
+	}
+	d.cleanups = append(d.cleanups, d.reconnecting.Stop)
 	for i := range o.Clients {
 		c, err := flows.StartClient(netip.AddrPortFrom(d.nthAddr(firstClientAddr, i), d.ports[0]))
 		if err != nil {
@@ -72,11 +77,16 @@
 	}
 	workers.Go(func() { d.watchVersions(ctx) })
 	workers.Go(func() { d.runHeartbeats(ctx) })
+	workers.Go(func() { d.watchEvacuations(ctx) })
+	workers.Go(func() { d.watchConnections(ctx) })
 	workers.Go(func() { d.reportProgress(ctx, start) })
 	if err := d.waitReady(ctx); err != nil {
 		cancel()
 		return d.result(start), err
 	}
+	d.mu.Lock()
+	d.traffic = true
+	d.mu.Unlock()
 	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		d.injectFault()
 		if d.rng.IntN(4) > 0 { // else the next one comes at once
@@ -84,6 +94,7 @@
 		}
 	}
 	d.clearFaults()
+	d.evacuateOneDomain()
 	d.checkTakeover()
 	d.checkChangeAfterCrashes()
 	d.checkChangeAfterRestore()
@@ -110,7 +121,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := Result{
-		Seed: d.options.Seed, Instances: len(d.instances), ElapsedSeconds: time.Since(start).Seconds(), RequestsTried: d.tried.Load(), RequestsServed: d.served.Load(),
+		Seed: d.options.Seed, Instances: len(d.instances), Features: d.uses.String(), ElapsedSeconds: time.Since(start).Seconds(), RequestsTried: d.tried.Load(), RequestsServed: d.served.Load(),
 		Version: d.version, Servers: len(d.servers), FaultCounts: make(map[string]int), Violations: append([]string{}, d.violations...), LogDir: d.options.Dir,
 	}
 	for name, n := range d.faultCounts {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("seed %d: %d of %d requests served, version %d, %d servers, faults %v", seed, r.RequestsServed, r.RequestsTried, r.Version, r.Servers, r.FaultCounts)
+		t.Logf("seed %d (%s): %d of %d requests served, version %d, %d servers, faults %v", seed, r.Features, r.RequestsServed, r.RequestsTried, r.Version, r.Servers, r.FaultCounts)
 		for _, v := range r.Violations {
 			t.Error(v)
 		}
