Check a configuration before it is sent; name every malformed field

Change: monsoonctl config check FILE [--in-force FILE] prints errors with code, entry and field, entries that never take effect, limits that contradict each other and the differences to the version in force (package internal/configcheck, no I/O). platform/wire decodes the numbers of a configuration one by one and reports up to 20 fields (FieldError). null and values outside the range are errors, also for limits.idleTimeoutMs, which was clamped. Of two routes with one address and port the engine uses the last, so the check reports the earlier one.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -159,7 +159,7 @@
 	f.StringVar(&a.tlsKey, "tls-key", "", "PEM private key of --tls-cert")
 	f.StringVar(&a.tlsCA, "tls-ca", "", "PEM certificates of the CA")
 	must(root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp)))
-	root.AddCommand(a.questionnaireCommand(), a.statusCommand(), a.inForceCommand(), a.timelineCommand(), a.forwarderCommand(), a.versionCommand())
+	root.AddCommand(a.questionnaireCommand(), a.statusCommand(), a.inForceCommand(), a.timelineCommand(), a.forwarderCommand(), a.configCommand(), a.versionCommand())
 	return root
 }
 
