A malformed configuration no longer hides the version in force

Cause: a configuration that could not be decoded replaced the last valid one in the records of every instance. The engines kept the version in force, but an instance that started afterwards got the malformed one from its peers and was not ready until operators corrected it; a valid version in the same batch of changes was lost.

--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -36,6 +36,7 @@
 	servers   map[string]*flows.Server
 	client    *flows.Client
 	version   int
+	log       zerolog.Logger // of the instances; discards everything unless a test sets it
 }
 
 type instance struct {
@@ -94,7 +95,7 @@
 	if err := s.Check(); err != nil {
 		d.t.Fatal(err)
 	}
-	f, err := New(s, func() (Settings, error) { return s, nil }, zerolog.Nop())
+	f, err := New(s, func() (Settings, error) { return s, nil }, d.log)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -13,16 +13,24 @@
 )
 
 // toRecords converts the items of a response with the revision asOf. All revisions in it are of
-// the era that the response names. A server's entry that cannot be decoded names no server and
-// counts as removed, so that the last value that could be is kept.
+// the era that the response names. A configuration or a server's entry that cannot be decoded
+// counts as removed, so that the last value that could be is kept, also for instances that start later.
 func (f *Forwarder) toRecords(items []kv.Item, era, asOf uint64) ([]directory.Record, directory.Position, error) {
 	records := make([]directory.Record, 0, len(items))
+	var configuration []byte // the last one among the items that could be decoded
 	for _, i := range items {
 		at, ok := directory.NewPosition(era, i.Revision)
 		if !ok {
 			return nil, 0, result.Errorf(result.StoreMalformed, "key %s: revision %d of era %d is out of range", i.Key, i.Revision, era)
 		}
 		r := directory.Record{Key: i.Key, Value: i.Value, Revision: at, Removed: i.Removed}
+		if r.Key == wire.ConfigurationKey && !r.Removed {
+			if _, err := wire.DecodeConfiguration(r.Value); err != nil {
+				f.log.Error().Uint16(logging.Code, errorCode(err)).Err(err).Stringer(logging.Revision, at).Msg("configuration_malformed")
+				r.Value, r.Removed = configuration, true
+			}
+			configuration = r.Value
+		}
 		if strings.HasPrefix(r.Key, wire.ServerPrefix) && !r.Removed {
 			if _, err := wire.DecodeServer(r.Key, r.Value, 0); err != nil {
 				f.events.newEvent(zerolog.WarnLevel).Uint16(logging.Code, errorCode(err)).Err(err).Msg("server_malformed")
--- a/test/soak/features.go
+++ b/test/soak/features.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -109,6 +110,9 @@
 	if f.coldStart {
 		kinds = slices.Concat(kinds, coldStartFaults)
 	}
+	if f.priorities {
+		kinds = slices.Concat(kinds, priorityFaults)
+	}
 	return kinds
 }
 
@@ -154,6 +158,22 @@
 	{"many flows at once", func(d *deployment, _ *instance) { d.reconnectSoon() }},
 }
 
+// priorityFaults are drawn in deployments whose routes have priorities.
+var priorityFaults = []fault{{"malformed configuration", func(d *deployment, _ *instance) { d.writeMalformedConfiguration() }}}
+
+// writeMalformedConfiguration writes the last version with a malformed field, which operators correct
+// within a second by writing the last version again.
+func (d *deployment) writeMalformedConfiguration() {
+	d.mu.Lock()
+	d.store.Put(wire.ConfigurationKey, bytes.Replace(d.configuration, []byte(`"priority":0`), []byte(`"priority":-1`), 1))
+	d.mu.Unlock()
+	time.AfterFunc(d.randomDuration(1000), func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.store.Put(wire.ConfigurationKey, d.configuration)
+	})
+}
+
 // malformedEvacuations are the ends of keys and the values of evacuation records that cannot be read.
 var malformedEvacuations = []struct{ key, value string }{
 	{"", `{}`}, {"d0/extra", `{}`}, {"/", `{}`}, {"d8", "\xff\x00"}, {"d8", `"d8"`}, {"d8", `[]`}, {"d8", `null`}, {"d8", ``}, {"d8", `{"since":`},
