Soak: open flows while a restored store lacks an evacuation

Change: the copy is taken before the evacuation, operators write again 1.5 s after the restore, and flows are opened meanwhile and until the returned domain gets one.

--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -205,15 +205,22 @@
 	d.checkVersionActive("after one instance in each failure domain was killed")
 }
 
+// writeAgainAfter is how long operators need at least to write again what a restored store has lost. An
+// evacuation that the store has lost holds meanwhile.
+const writeAgainAfter = 1500 * time.Millisecond
+
 // checkChangeAfterRestore restores the store from a copy that lacks the last versions, while no other
 // faults are active, and checks that the next configuration is used within maxPropagationDelay.
 // The store gives it a revision that it had given out before.
 func (d *deployment) checkChangeAfterRestore() {
-	time.Sleep(settleTime)
-	d.reconnect()
-	time.Sleep(settleTime / 2)
 	older := d.store.Copy()
-	first, second := d.evacuateAnotherDomain()
+	first, second := d.evacuateAnotherDomain() // the copy has the evacuation that ends and lacks the one that begins
+	time.Sleep(settleTime)
+	if d.uses.connections {
+		d.reconnect()
+	} else {
+		time.Sleep(settleTime / 2)
+	}
 	for range 3 {
 		d.acceptNextVersion()
 	}
@@ -222,6 +229,9 @@
 	d.writesLost = true
 	d.mu.Unlock()
 	d.store.Restore(older)
+	if d.uses.evacuation {
+		d.openMany(60, writeAgainAfter/60, d.instanceForFlow)
+	}
 	d.writeAgain()
 	time.Sleep(settleTime + settleTime/2)
 	d.acceptNextVersion()
--- a/test/soak/coldstart.go
+++ b/test/soak/coldstart.go
@@ -141,7 +141,7 @@
 // reconnectSoon opens many flows at once in the background, through random instances.
 func (d *deployment) reconnectSoon() {
 	const count, spacing = 120, 10 * time.Millisecond
-	go d.openMany(count, spacing, func(n int) *instance { return d.instanceForFlow(n) })
+	go d.openMany(count, spacing, d.instanceForFlow)
 }
 
 // openMany opens flows to "orders" one after the other, keeps them until all have been answered, and
@@ -169,14 +169,7 @@
 // reconnect opens flows through the instances of one failure domain, as clients do that have lost the
 // others: 60% of what the servers may hold.
 func (d *deployment) reconnect() {
-	if !d.uses.connections {
-		return
-	}
-	capacity := 0
-	for range d.eligibleServers("orders") {
-		capacity += maxConnections
-	}
-	count := capacity * 6 / 10
+	count := len(d.eligibleServers("orders")) * maxConnections * 6 / 10
 	d.openMany(count, time.Second/time.Duration(max(count, 1)), func(n int) *instance { return d.instances[domainCount*(n%d.options.InstancesPerDomain)] })
 }
 
--- a/test/soak/evacuation.go
+++ b/test/soak/evacuation.go
@@ -206,8 +206,8 @@
 	return first, second
 }
 
-// checkEvacuations checks that the domain whose evacuation has ended gets new flows again. The checks
-// of evacuated domains need one whose bound has passed.
+// checkEvacuations checks that the domain whose evacuation has ended gets new flows again, and that the other
+// one is in effect, without which checkEvacuated has nothing to check.
 func (d *deployment) checkEvacuations(ended, active string) {
 	if !d.uses.evacuation {
 		return
@@ -215,7 +215,7 @@
 	d.mu.Lock()
 	var servers []*server
 	for _, s := range d.servers {
-		if s.Domain == ended && s.alive() {
+		if s.Domain == ended && s.Service == "orders" && s.alive() {
 			servers = append(servers, s)
 		}
 	}
@@ -230,9 +230,11 @@
 		return n
 	}
 	before := opened()
-	for end := time.Now().Add(recoveryTimeout); len(servers) > 0 && opened() == before; time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(recoveryTimeout); len(servers) > 0 && opened() == before; {
+		d.openMany(12, 20*time.Millisecond, d.instanceForFlow)
 		if time.Now().After(end) {
-			d.recordViolation("the servers of %s received no opening packet within %v although its evacuation has ended", ended, recoveryTimeout)
+			d.recordViolation("%d servers of %s received no opening packet within %v although its evacuation has ended (still in the store: %t)",
+				len(servers), ended, recoveryTimeout, d.store.Value(wire.EvacuationPrefix+ended) != nil)
 			return
 		}
 	}
