Soak: closed flows stay closed; mark partitions of the takeover check

Cause: a packet that arrived after a client's FIN made the server stand-in count the flow as open again for 15 s, and the partition of checkTakeover did not count as a fault between instances, so that the check of open flows could report what is allowed.

--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -39,7 +39,8 @@
 }
 
 type serverFlow struct {
-	open         bool // the client has acknowledged the response to its SYN and has sent neither FIN nor RST
+	open         bool // the client has acknowledged the response to its SYN
+	closed       bool // the client has sent FIN or RST
 	lastPacket   time.Time
 	cookie       uint32
 	sequence     uint32
@@ -135,7 +136,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for _, f := range s.flows {
-		if f.open && time.Since(f.lastPacket) < idleTimeout {
+		if f.open && !f.closed && time.Since(f.lastPacket) < idleTimeout {
 			n++
 		}
 	}
@@ -178,7 +179,8 @@
 func (s *Server) handlePacket(id uint64, via netip.Addr, p Packet) {
 	f := s.flows[p.Source]
 	if f != nil && p.ChecksumValid && (id == 0 || id == s.numericID()) {
-		f.open = p.Flags&(SYN|FIN|RST) == 0
+		f.open = f.open || p.Flags&SYN == 0
+		f.closed = f.closed || p.Flags&(FIN|RST) != 0
 		f.lastPacket = time.Now()
 	}
 	switch {
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -257,6 +257,7 @@
 	for _, in := range d.instances {
 		d.setPeerDatagramsDropped(in, otherDomains(in), true)
 	}
+	d.markPeerFault(settleTime + settleTime/2 + maxPropagationDelay)
 	time.Sleep(settleTime + settleTime/2)
 	for _, in := range d.instances {
 		if in.watchesStore() {
@@ -270,6 +271,7 @@
 		in.peerLink.clearFaults()
 		in.signal(syscall.SIGCONT)
 	}
+	d.markPeerFault(0)
 }
 
 // checkVersionActive checks that all settled instances use the accepted version, and that there
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestSoak guards against invariant violations under random faults that overlap and
-// follow each other quickly. For manual runs, MONSOONTHREAD_SOAK_SEEDS sets a range of
+// follow each other quickly. The seed decides which optional features the deployment uses (features.go). For manual runs, MONSOONTHREAD_SOAK_SEEDS sets a range of
 // seeds (first-last), MONSOONTHREAD_SOAK_FOR sets how long faults are injected, and
 // MONSOONTHREAD_SOAK_INSTANCES sets the number of processes in each of the three failure domains.
 func TestSoak(t *testing.T) {
