--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -36,6 +36,7 @@
 	servers   map[string]*flows.Server
 	client    *flows.Client
 	version   int
+	coldSlack float64 // setting of the instances
 }
 
 type instance struct {
@@ -89,7 +90,7 @@
 	s := Settings{
 		InstanceID: name, FailureDomain: domain, MetricsAddress: at(1), DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
 		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, NewFlowsPerPrefix: defaultNewFlowsPerPrefix, MaxFlowLifetime: time.Minute,
-		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, LogLevel: "info",
+		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, ColdSlack: d.coldSlack, LogLevel: "info",
 	}
 	if err := s.Check(); err != nil {
 		d.t.Fatal(err)
