Other failure domains open flows only at servers that their domain offers

Applies with the limits on cold servers set, while the domain's reports arrive. A domain offers full servers only if all are full.

--- a/forwarding/coldstart.go
+++ b/forwarding/coldstart.go
@@ -70,9 +70,14 @@
 }
 
 // allowsColdStart reports whether the server is warm, or cold and this instance may send another
-// opening packet to it.
+// opening packet to it. A server of another failure domain may be cold without this instance knowing
+// it, so it counts as warm only if its domain offers it, as long as that domain sends reports.
 func (e *Engine) allowsColdStart(now time.Duration, s *server) bool {
-	if !e.isCold(now, s) || e.ownsColdStart(now, s) && s.cold.window.Allows(now, e.coldShare(s.service)) {
+	if !e.isCold(now, s) {
+		if s.local || now < s.leastLoadedUntil || !e.limitsColdStarts() || !e.isReported(s.Domain) {
+			return true
+		}
+	} else if e.ownsColdStart(now, s) && s.cold.window.Allows(now, e.coldShare(s.service)) {
 		return true
 	}
 	e.passedOverCold = true
@@ -94,6 +99,23 @@
 	return s.cold.owned
 }
 
+// withdrawOffer ends the offer of the server by its failure domain and reports whether it is of the
+// given one.
+func (s *server) withdrawOffer(domain string) bool {
+	if s.Domain != domain {
+		return false
+	}
+	s.leastLoadedUntil = 0
+	return true
+}
+
+// isReported reports whether there is a report about the least loaded servers of another failure
+// domain.
+func (e *Engine) isReported(domain string) bool {
+	_, ok := e.peerLoads[domainSourcePrefix+domain]
+	return ok
+}
+
 // countOpeningPacket counts an opening packet sent to the server.
 func (e *Engine) countOpeningPacket(now time.Duration, s *server) {
 	e.countPassedOver()
--- a/forwarding/connections.go
+++ b/forwarding/connections.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/monsoonthread/monsoonthread/connlimit"
@@ -37,6 +38,15 @@
 	return flows
 }
 
+// withRoom returns the servers that are not full; all of them if all are, since one of them then
+// gets the flow.
+func withRoom(servers []*server) []*server {
+	if !slices.ContainsFunc(servers, func(s *server) bool { return !s.full() }) {
+		return servers
+	}
+	return slices.DeleteFunc(servers, (*server).full)
+}
+
 // reportingPeers returns the number of instances of the own failure domain that report loads.
 func (e *Engine) reportingPeers() int {
 	n := 0
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -117,10 +117,11 @@
 	for _, svc := range e.services {
 		usable := make([]*server, 0, len(svc.local))
 		for _, s := range svc.local {
-			if s.usable() && !e.isCold(now, s) && !s.full() {
+			if s.usable() && !e.isCold(now, s) {
 				usable = append(usable, s)
 			}
 		}
+		usable = withRoom(usable)
 		slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.utilization(now), b.utilization(now)) })
 		for _, s := range usable[:min(maxLeastLoaded, len(usable))] {
 			m := &s.meter
@@ -134,7 +135,7 @@
 func (e *Engine) SetLeastLoadedServers(now time.Duration, domain string, loads []Load) {
 	e.SetPeerLoads(now, domainSourcePrefix+domain, loads)
 	for _, svc := range e.services {
-		svc.remoteLeastLoaded = slices.DeleteFunc(svc.remoteLeastLoaded, func(s *server) bool { return s.Domain == domain })
+		svc.remoteLeastLoaded = slices.DeleteFunc(svc.remoteLeastLoaded, func(s *server) bool { return s.withdrawOffer(domain) })
 	}
 	for _, l := range loads {
 		for _, s := range e.byCookie[l.Cookie] {
