--- a/internal/ctl/forwarders_test.go
+++ b/internal/ctl/forwarders_test.go
@@ -86,6 +86,23 @@
 	}
 }
 
+// Guards against a cold or full server of which operators do not see what limits it and who opens its
+// flows.
+func TestForwarderShowsLimits(t *testing.T) {
+	server := view.Server{Name: "servers/i-5", Service: "orders", Domain: "levis", Address: "10.0.0.5:80", State: "cold", StateReason: "its process is new", ColdLeft: 1.26, MaxFlows: 2000}
+	owned := server
+	owned.OwnsColdStart = true
+	first := startForwarders(t,
+		&view.Status{Instance: "front-1", Domain: "levis", ColdServers: 41, FullServers: 43, Servers: []view.Server{server}, Members: []view.Member{{Instance: "front-2", Address: "127.0.7.2:7720", Alive: true}}},
+		&view.Status{Instance: "front-2", Domain: "levis", Servers: []view.Server{owned}})
+	c := newCLITest(t)
+	c.run(ExitOK, "its process is new; few opening packets for 1.3s, only from front-2", "forwarder", "servers", "--status-addresses", first)
+	if !strings.Contains(c.out.String(), "2000") {
+		t.Errorf("the limit of open flows is missing in\n%s", &c.out)
+	}
+	c.run(ExitOK, "41    43", "forwarder", "status", "--status-addresses", first)
+}
+
 // Guards against errors without a result code or without the address that did not answer.
 func TestForwarderErrors(t *testing.T) {
 	c := newCLITest(t)
--- a/peer/exchange/exchange_test.go
+++ b/peer/exchange/exchange_test.go
@@ -20,8 +20,8 @@
 	peer := mesh.Peer{ID: "laval-1", Domain: "laval", Address: netip.MustParseAddrPort("10.1.0.10:7720")}
 	return &Message{
 		Status:      &mesh.Status{Peer: peer, Incarnation: 1 << 60, AsOf: 1 << 40, ConfirmationAge: 1500 * time.Millisecond, Watching: true, Leaving: true},
-		Loads:       []forwarding.Load{{Cookie: 0xdeadbeef, Rate: 12.25, ServiceTime: 22 * time.Millisecond}, {Cookie: 1}},
-		LeastLoaded: []DomainLeastLoaded{{Domain: "levis", Loads: []forwarding.Load{{Cookie: 7, Rate: 3}}}, {Domain: "empty"}},
+		Loads:       []forwarding.Load{{Cookie: 0xdeadbeef, Rate: 12.25, ServiceTime: 22 * time.Millisecond}, {Cookie: 1}, {Cookie: 2, Flows: 300}},
+		LeastLoaded: []DomainLeastLoaded{{Domain: "levis", Loads: []forwarding.Load{{Cookie: 7, Rate: 3, Flows: 1}}}, {Domain: "empty"}},
 		Update: directory.Update{Base: 8, AsOf: 11, Records: []directory.Record{
 			{Key: "op/config", Revision: 9, Delta: &directory.Delta{Base: 8, Parts: []directory.Part{{Offset: 0, Length: 20}, {Insert: []byte("new")}}}},
 			{Key: "servers/i-1", Value: []byte{0, 255}, Revision: 10},
