--- a/internal/forwarder/deployment_test.go
+++ b/internal/forwarder/deployment_test.go
@@ -39,6 +39,7 @@
 	log       zerolog.Logger // of instances that are started later; discards everything unless a test sets it
 
 	evacuationBound time.Duration // of instances that are started later
+	coldSlack       float64       // setting of the instances
 }
 
 type instance struct {
@@ -101,7 +102,7 @@
 	s := Settings{
 		InstanceID: name, FailureDomain: domain, MetricsAddress: at(1), DatagramAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2),
 		Seeds: strings.Join(seeds, ","), StoreAddress: d.storeAddr, MemoryMB: 64, NewFlowsPerPrefix: defaultNewFlowsPerPrefix, MaxFlowLifetime: time.Minute,
-		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, EvacuationBound: d.evacuationBound, LogLevel: "info",
+		GracePeriod: 6 * time.Second, ConfigurationBound: configurationBound, DrainBound: 3 * time.Second, EvacuationBound: d.evacuationBound, ColdSlack: d.coldSlack, LogLevel: "info",
 	}
 	if err := s.Check(); err != nil {
 		d.t.Fatal(err)
