Soak: the check of evacuations opens its own flows

Change: the check opens flows through each instance, during the evacuation and after its end, and evacuates a domain that has a living server of that service.

--- a/test/soak/evacuation.go
+++ b/test/soak/evacuation.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/monsoonthread/monsoonthread/internal/standin/flows"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 )
 
@@ -82,8 +83,13 @@
 
 // checkEvacuation evacuates a failure domain while no other faults are active, kills an instance in
 // each domain, whose new processes must not open flows there either, and checks that the domain gets
-// new flows again after the end.
-func (d *deployment) checkEvacuation() {
+// new flows again after the end. It opens flows of its own, as the other clients keep theirs for long.
+func (d *deployment) checkEvacuation() error {
+	c, err := flows.StartClient(netip.AddrPortFrom(d.nthAddr(firstClientAddr, d.options.Clients), d.ports[0]))
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
 	time.Sleep(settleTime + settleTime/2)
 	domain, _ := d.openedIn("")
 	d.evacuate(domain)
@@ -94,16 +100,36 @@
 			d.instances[n].signal(syscall.SIGKILL)
 		}
 	}
-	time.Sleep(maxPropagationDelay)
+	for end := time.Now().Add(maxPropagationDelay); time.Now().Before(end); {
+		d.openThroughAll(c)
+	}
 	d.setEvacuationKnown(false)
 	d.endEvacuation(domain)
 	_, before := d.openedIn(domain)
-	for end := time.Now().Add(recoveryTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if _, after := d.openedIn(domain); after > before {
-			return
+	time.Sleep(maxPropagationDelay)
+	d.openThroughAll(c)
+	if _, after := d.openedIn(domain); after == before {
+		d.recordViolation("%s got no new flow within %v after its evacuation", domain, maxPropagationDelay)
+	}
+	return nil
+}
+
+// openThroughAll opens flows through each instance that the routers use.
+func (d *deployment) openThroughAll(c *flows.Client) {
+	for _, in := range d.instances {
+		in.mu.Lock()
+		usable := !in.stopping && time.Since(in.lastFault) > time.Second
+		in.mu.Unlock()
+		for range 10 {
+			if !usable {
+				break
+			}
+			if f, err := c.Open(ordersAddr, in.datagramAddr(), time.Second); err == nil {
+				f.Close(in.datagramAddr())
+			}
 		}
 	}
-	d.recordViolation("%s got no new flow within %v after its evacuation", domain, recoveryTimeout)
+	time.Sleep(50 * time.Millisecond)
 }
 
 // setEvacuationKnown sets whether every instance must know the evacuations in force, also one that has
@@ -114,8 +140,8 @@
 	d.evacuationKnown = known
 }
 
-// openedIn returns the number of flows that the living servers of a failure domain have got; with an
-// empty name, of a domain that has some.
+// openedIn returns the number of flows that the living servers of orders in a failure domain have got;
+// with an empty name, of a domain that has such servers.
 func (d *deployment) openedIn(domain string) (string, int) {
 	d.mu.Lock()
 	servers := d.servers
@@ -123,7 +149,7 @@
 	n := 0
 	for _, s := range servers {
 		s.mu.Lock()
-		usable := s.drainedAt.IsZero() && s.stoppedAt.IsZero()
+		usable := s.drainedAt.IsZero() && s.stoppedAt.IsZero() && s.Service == "orders"
 		s.mu.Unlock()
 		if domain == "" && usable {
 			domain = s.Domain
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -93,7 +93,10 @@
 	d.checkTakeover()
 	d.checkChangeAfterCrashes()
 	d.checkChangeAfterRestore()
-	d.checkEvacuation()
+	if err := d.checkEvacuation(); err != nil {
+		cancel()
+		return d.result(start), err
+	}
 	d.checkRecovery()
 	cancel()
 	workers.Wait()
