Forwarding: a record shortens its own cold time as before

Change: the mark is kept apart from what the record says.

Result: go test ./forwarding passes; without the mark in applyRecord, TestServersAreColdAfterEvacuation fails.

--- a/forwarding/evacuate.go
+++ b/forwarding/evacuate.go
@@ -39,9 +39,10 @@
 	}
 }
 
-// markCold makes the server count as cold for as long as its service says.
+// markCold makes the server count as cold for as long as its service says, whatever its record says.
 func (e *Engine) markCold(now time.Duration, s *server) {
-	s.coldUntil = max(s.coldUntil, now+s.service.limits.ColdStart)
+	s.markedCold = now + s.service.limits.ColdStart
+	s.coldUntil = max(s.coldUntil, s.markedCold)
 }
 
 // KnowsDomain reports whether a server names the failure domain.
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -78,6 +78,7 @@
 	shadowed         bool          // another server with the same cookie has a lower ID
 	removedAt        time.Duration
 	coldUntil        time.Duration
+	markedCold       time.Duration // until when it is cold whatever its record says, see markCold
 	leastLoadedUntil time.Duration // until when it counts as reported by its failure domain
 
 	flows           int32 // flows in this instance's flow table that are not closing
@@ -146,9 +147,7 @@
 	e.dropClaim(s)
 	e.setRecord(s, in)
 	s.listed = true
-	if coldUntil := now + in.ColdLeft; newProcess || coldUntil > s.coldUntil {
-		s.coldUntil = coldUntil // the process may be cold for longer than it knows, see markCold
-	}
+	s.coldUntil = max(now+in.ColdLeft, s.markedCold)
 	if restarted && known {
 		s.incarnation++
 	}
