Measure service times from all answers and merge them over the failure domain

Samples were taken only from answers of two packets, so services with small answers had no known speed, and each report overwrote the speed that others had reported. Samples now come from all answers whose acknowledgement time is understood, and reports add sums and counts. A report lives 2.5 times the interval of its source, at least 2 s and at most 6 s, since a round through 45 instances takes as long as the old lifetime.

--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -1,6 +1,10 @@
 package forwarding
 
-import "time"
+import (
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/serverload"
+)
 
 // RouteKind tells whether requests of a route may be repeated.
 type RouteKind uint8
@@ -63,6 +67,7 @@
 	class       flowClass
 	services    []weightedService
 	totalWeight uint32
+	answers     *serverload.Answers // kept across versions
 	// pastServices holds every service that the route has used in a version known to this
 	// instance. Flows opened under an older version keep their server.
 	pastServices []*service
@@ -114,7 +119,7 @@
 }
 
 func (e *Engine) newRoute(in *Route, previous ...*route) *route {
-	r := &route{kind: in.Kind, class: newFlowClass(in)}
+	r := &route{kind: in.Kind, class: newFlowClass(in), answers: new(serverload.Answers)}
 	for _, w := range in.Services {
 		s := e.service(w.Service)
 		s.named = true
@@ -126,6 +131,7 @@
 		if b == nil {
 			continue
 		}
+		r.answers = b.answers
 		for _, s := range b.pastServices {
 			if !r.allows(s) {
 				r.pastServices = append(r.pastServices, s)
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -76,8 +76,11 @@
 	runningSince       time.Duration // time of the first tick after the last pause of the process
 	byAddress          map[netip.AddrPort][]*server
 
-	evacuated map[string]struct{} // failure domains
-	peerLoads map[string]peerLoads
+	evacuated     map[string]struct{} // failure domains
+	peerLoads     map[string]peerLoads
+	ackDelay      time.Duration // last known delay of acknowledgements of any service
+	ackDelayKnown bool
+
 	handshake float64 // moving average of handshake times, in nanoseconds
 	nextRates time.Duration
 
@@ -215,6 +218,7 @@
 				return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
 			}
 			f, newlyTracked = e.track(now, p.Flow, s, e.routeKind(p.Flow)), true
+			f.answers = manyAnswers // its earlier answers are unknown
 		} else if s != nil {
 			// The cookie names the server whose answer reached the client.
 			e.assign(f, s)
@@ -275,15 +279,21 @@
 }
 
 func (e *Engine) routeKind(k FlowKey) RouteKind {
-	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
-		return r.kind
-	}
-	if r := e.retired[routeKey{k.Service, k.ServicePort}]; r != nil {
+	if r := e.routeOf(k); r != nil {
 		return r.kind
 	}
 	return NonIdempotent // the kind with the fewest assumptions
 }
 
+// routeOf returns the route of a flow, also one that the version in force lacks; nil if it is
+// unknown.
+func (e *Engine) routeOf(k FlowKey) *route {
+	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
+		return r
+	}
+	return e.retired[routeKey{k.Service, k.ServicePort}]
+}
+
 // Tick runs the timers. The owner calls it about every 50 ms.
 func (e *Engine) Tick(now time.Duration) []Action {
 	if now-e.lastTick > maxTickGap {
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -23,8 +23,9 @@
 	sentAt         uint32 // first transmission of the data that waits for an answer
 	state          flowState
 	kind           RouteKind
-	requestPending bool // a request is sent and not answered
-	overdue        bool // the pending request was counted as failed
+	requestPending bool  // a request is sent and not answered
+	overdue        bool  // the pending request was counted as failed
+	answers        uint8 // answers that the client has acknowledged, up to manyAnswers
 }
 
 func millis(d time.Duration) uint32    { return uint32(d / time.Millisecond) }
@@ -65,11 +66,6 @@
 	e.free = append(e.free, f)
 }
 
-// immediateAckBytes is the minimum number of new bytes that a client acknowledges at once,
-// since they take two packets. A client delays the acknowledgement of a single packet, and the
-// delay would count as response time.
-const immediateAckBytes = 1201
-
 // unknownElapsed is the response time of an answer whose request was not observed. Such an
 // answer never counts as quick.
 const unknownElapsed = time.Duration(math.MaxInt64)
@@ -77,19 +73,18 @@
 // observe updates the server's health and load samples from a packet of an open flow. It
 // returns the response time of the request that the packet acknowledges, or 0.
 func (e *Engine) observe(now time.Duration, f *flow, p Packet) (response time.Duration, actions []Action) {
+	idle := now - duration(f.seenAt)
 	f.seenAt = millis(now)
 	if p.Acknowledges && sequenceAfter(p.Acknowledgement, f.ack) {
-		if f.requestPending && p.Length == 0 && p.Acknowledgement-f.ack >= immediateAckBytes {
-			f.server.meter.addSample(now - duration(f.sentAt))
-			f.server.service.recordResponse(now - duration(f.sentAt))
-		}
 		acknowledged := p.Acknowledgement - f.ack
 		f.ack = p.Acknowledgement
 		elapsed := unknownElapsed
 		if f.requestPending {
 			response = now - duration(f.sentAt)
 			elapsed = response
+			e.measureAnswer(now, f, p, elapsed, acknowledged)
 			e.observeAnswer(now, f, elapsed, acknowledged)
+			idle = 0
 		}
 		e.recordProgress(now, f.server, elapsed)
 		e.setRequestPending(now, f, false)
@@ -98,6 +93,7 @@
 		actions = e.observeData(now, f, p)
 	}
 	if (p.Finish || p.Reset) && f.state == open {
+		e.observeFlowEnd(f, idle)
 		e.setRequestPending(now, f, false)
 		f.state = closing
 		f.server.flows--
@@ -112,6 +108,7 @@
 		if !f.requestPending && f.state == open {
 			e.setRequestPending(now, f, true)
 			f.sentAt, f.overdue = millis(now), false
+			e.observeNextRequest(f)
 			e.countRequest(f.server)
 		}
 		return nil
--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -4,11 +4,19 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/monsoonthread/monsoonthread/serverload"
 )
 
 const (
-	// peerLoadLifetime is how long a peer's load report counts without being renewed.
-	peerLoadLifetime = 2 * time.Second
+	// A source's load report counts for reportLifetimeFactor times the interval between its last
+	// two reports, within the bounds below, so that a lost report does not make known load drop
+	// out. With 45 instances in a failure domain a report arrives every 2 s.
+	reportLifetimeFactor = 2.5
+	peerLoadLifetime     = 2 * time.Second // lower bound
+	// maxPeerLoadLifetime is the upper bound and the lifetime of a source's first report. Until it
+	// ends, the load of an instance that has left counts twice.
+	maxPeerLoadLifetime = 6 * time.Second
 	// rateInterval and rateGain let the moving average of the request rate follow a change
 	// within about a second.
 	rateInterval = 250 * time.Millisecond
@@ -18,16 +26,13 @@
 	// new flows from counting as no load while the service's other flows are idle.
 	minFlowRate = 0.8
 	maxFlowRate = 4.0
-	// The service time is estimated from a low quantile of the response times, since slower
-	// responses include queueing, which does not depend on the server's speed.
-	// meanToQuantileRatio converts the quantile to the mean for service times whose standard
-	// deviation is about half the mean.
-	serviceQuantile     = 0.3
-	quantileStep        = 0.05
-	meanToQuantileRatio = 1.4
-	// minLocalSamples is the number of own samples from which peers' measurements are
-	// ignored.
-	minLocalSamples = 8
+	// minReportedSamples is the decayed number of samples below which they are left out of load
+	// reports, to keep the reports small.
+	minReportedSamples = 0.25
+	// maxSampleRatio bounds a sample by a multiple of the server's estimated service time. Longer
+	// ones include queueing, which does not depend on the server's speed. Where the server is
+	// slower, the estimate still grows by up to this factor in about a half-life of the samples.
+	maxSampleRatio = 2.0
 )
 
 // Load is the request rate that a source causes at a server and the service time that the
@@ -45,49 +50,52 @@
 
 // peerLoads is the latest load report of a source.
 type peerLoads struct {
-	loads   []Load
-	applied []appliedLoad // what the report added to the servers
-	at      time.Duration
+	loads    []Load
+	applied  []appliedLoad // what the report added to the servers
+	at       time.Duration
+	interval time.Duration // between the last reports; 0 after the first one
+	expires  time.Duration
 }
 
 // appliedLoad is a load as it was added to a server. A cookie may start to map to a server,
 // or map to another one, between two reports, so exactly what was added is subtracted.
 type appliedLoad struct {
-	server *server
-	rate   float64
+	server  *server
+	service *service
+	rate    float64
+	speed   serverload.Sum
 }
 
 // meter measures the load that this instance's flows cause at a server and holds the load
 // that peers reported for it.
 type meter struct {
-	arrivals        int32   // requests in the current interval
-	rate            float64 // moving average of requests per second
-	expectedRate    float64 // requests per second expected of new flows that are not measured yet
-	quantile        float64 // of response times, in nanoseconds
-	samples         int32
-	peerRate        float64
-	peerServiceTime float64 // service time measured by a peer, in nanoseconds
+	arrivals     int32   // requests in the current interval
+	rate         float64 // moving average of requests per second
+	expectedRate float64 // requests per second expected of new flows that are not measured yet
+	speed        serverload.Speed
+	ownSpeed     serverload.Sum // of speed at its last sample or the start of the interval
+	peerRate     float64
+	peerSpeed    serverload.Sum // sum of the samples that peers reported
 }
 
-func (m *meter) addSample(d time.Duration) {
-	x := float64(d)
-	switch {
-	case m.samples == 0:
-		m.quantile = x
-	case x < m.quantile:
-		m.quantile -= m.quantile * quantileStep * (1 - serviceQuantile) * 2
-	default:
-		m.quantile += m.quantile * quantileStep * serviceQuantile * 2
-	}
-	m.samples++
+// knownSpeed returns the samples of all sources.
+func (m *meter) knownSpeed() serverload.Sum {
+	sum := m.ownSpeed
+	sum.Add(m.peerSpeed)
+	return sum
 }
 
 // Loads returns the loads that this instance causes, for its peers.
 func (e *Engine) Loads() []Load {
 	var out []Load
 	for s := range e.activeServers {
-		if rate := s.meter.rate + s.meter.expectedRate; rate > minReportedRate {
-			out = append(out, Load{Cookie: s.cookie, Rate: rate, ServiceTime: time.Duration(s.meter.meanTime())})
+		m := &s.meter
+		l := Load{Cookie: s.cookie, Rate: m.rate + m.expectedRate}
+		if samples := m.ownSpeed.Samples(); samples >= minReportedSamples {
+			l.SampleSum, l.Samples = m.ownSpeed.Time, samples
+		}
+		if l.Rate > minReportedRate || l.Samples > 0 {
+			out = append(out, l)
 		}
 	}
 	return out
@@ -97,10 +105,6 @@
 // reports.
 const minReportedRate = 0.01
 
-// meanTime returns the mean service time measured by this instance, in nanoseconds; 0 without
-// samples.
-func (m *meter) meanTime() float64 { return m.quantile * meanToQuantileRatio }
-
 // maxLeastLoaded is the number of servers per service that a failure domain reports to
 // others: enough to spread the flows that spill over, few enough to keep messages small with
 // 12,000 servers.
@@ -121,7 +125,9 @@
 		slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.utilization(now), b.utilization(now)) })
 		for _, s := range usable[:min(maxLeastLoaded, len(usable))] {
 			m := &s.meter
-			out = append(out, Load{Cookie: s.cookie, Rate: m.rate + m.expectedRate + m.peerRate, ServiceTime: time.Duration(s.requestTime(now))})
+			speed := m.knownSpeed()
+			out = append(out, Load{Cookie: s.cookie, Rate: m.rate + m.expectedRate + m.peerRate,
+				ServiceTime: time.Duration(s.requestTime(now)), SampleSum: speed.Time, Samples: speed.Samples()})
 		}
 	}
 	return out
@@ -138,7 +144,7 @@
 			if s.Domain != domain {
 				continue // it has the same cookie, but another domain's report replaces its entry
 			}
-			s.leastLoadedUntil = now + peerLoadLifetime
+			s.leastLoadedUntil = e.peerLoads[domainSourcePrefix+domain].expires
 			s.service.remoteLeastLoaded = append(s.service.remoteLeastLoaded, s)
 		}
 	}
@@ -157,20 +163,30 @@
 
 // SetPeerLoads replaces the loads reported by a peer of the own failure domain.
 func (e *Engine) SetPeerLoads(now time.Duration, source string, loads []Load) {
-	p := e.peerLoads[source]
+	p, renewed := e.peerLoads[source]
+	lifetime, interval := maxPeerLoadLifetime, time.Duration(0)
+	if renewed {
+		// A report that was sent out of turn does not shorten the lifetime of the next one below
+		// the usual interval.
+		interval = max(now-p.at, p.interval/2)
+		lifetime = min(max(time.Duration(reportLifetimeFactor*float64(interval)), peerLoadLifetime), maxPeerLoadLifetime)
+	}
 	subtractLoads(p.applied)
-	e.peerLoads[source] = peerLoads{loads, e.addLoads(p.applied[:0], loads), now}
+	e.peerLoads[source] = peerLoads{loads, e.addLoads(p.applied[:0], loads), now, interval, now + lifetime}
 }
 
 // addLoads adds a source's loads to the servers and appends what it added to applied.
 func (e *Engine) addLoads(applied []appliedLoad, loads []Load) []appliedLoad {
 	for _, l := range loads {
+		speed := serverload.NewSum(l.SampleSum, l.Samples)
+		if l.Samples <= 0 {
+			speed = serverload.NewSum(l.ServiceTime, 1) // from a version of the program that reports no sums
+		}
 		for _, s := range e.byCookie[l.Cookie] {
 			s.meter.peerRate += l.Rate
-			if l.ServiceTime > 0 {
-				s.meter.peerServiceTime = float64(l.ServiceTime)
-			}
-			applied = append(applied, appliedLoad{s, l.Rate})
+			s.meter.peerSpeed.Add(speed)
+			s.service.peerSpeed.Add(speed)
+			applied = append(applied, appliedLoad{s, s.service, l.Rate, speed})
 		}
 	}
 	return applied
@@ -180,13 +196,15 @@
 	for _, c := range applied {
 		// Rounding errors must not make the rate negative.
 		c.server.meter.peerRate = max(c.server.meter.peerRate-c.rate, 0)
+		c.server.meter.peerSpeed.Subtract(c.speed)
+		c.service.peerSpeed.Subtract(c.speed)
 	}
 }
 
 // expirePeerLoads drops the reports of sources that have stopped sending.
 func (e *Engine) expirePeerLoads(now time.Duration) {
 	for source, p := range e.peerLoads {
-		if now-p.at > peerLoadLifetime {
+		if now > p.expires {
 			subtractLoads(p.applied)
 			delete(e.peerLoads, source)
 		}
@@ -200,23 +218,29 @@
 	}
 	e.nextRates = now + rateInterval
 	for _, s := range e.services {
-		s.rate, s.flows, s.serviceTimeSum, s.measuredServers = 0, 0, 0, 0
+		s.rate, s.flows, s.ownSpeed = 0, 0, serverload.Sum{}
 	}
 	for s := range e.activeServers {
 		m := &s.meter
 		m.rate += (float64(m.arrivals)/rateInterval.Seconds() - m.rate) * rateGain
 		m.expectedRate *= 1 - rateGain
 		m.arrivals = 0
+		m.ownSpeed = m.speed.Sum(now)
 		if m.rate+m.expectedRate < minReportedRate {
 			m.rate, m.expectedRate = 0, 0
-			delete(e.activeServers, s)
+			if m.ownSpeed.Samples() < minReportedSamples {
+				m.speed, m.ownSpeed = serverload.Speed{}, serverload.Sum{}
+				delete(e.activeServers, s)
+			}
 		}
 		s.service.rate += m.rate
 		s.service.flows += s.flows
-		if m.samples >= minLocalSamples {
-			s.service.serviceTimeSum += m.meanTime()
-			s.service.measuredServers++
-		}
+		s.service.ownSpeed.Add(m.ownSpeed)
+	}
+	for _, s := range e.services {
+		known := s.ownSpeed
+		known.Add(s.peerSpeed)
+		s.meanServiceTime = known.Estimate(defaultServiceTime)
 	}
 	return e.sumFailures(now)
 }
@@ -241,25 +265,23 @@
 	return min(max(s.rate/float64(s.flows), minFlowRate), maxFlowRate)
 }
 
-// serviceTime returns the mean service time over the measured servers, in nanoseconds.
+// serviceTime returns the mean service time over the requests of all servers, in nanoseconds.
 func (s *service) serviceTime() float64 {
-	if s.measuredServers == 0 {
+	if s.meanServiceTime == 0 {
 		return float64(defaultServiceTime)
 	}
-	return s.serviceTimeSum / float64(s.measuredServers)
+	return float64(s.meanServiceTime)
+}
+
+// serviceTime returns the estimated service time at the server, without queueing.
+func (s *server) serviceTime() time.Duration {
+	return s.meter.knownSpeed().Estimate(time.Duration(s.service.serviceTime()))
 }
 
 // requestTime returns the estimated service time at the server, without queueing, in
 // nanoseconds.
 func (s *server) requestTime(now time.Duration) float64 {
-	m := &s.meter
-	t := m.meanTime()
-	if m.samples < minLocalSamples && m.peerServiceTime > 0 {
-		t = m.peerServiceTime
-	}
-	if t == 0 {
-		t = s.service.serviceTime()
-	}
+	t := float64(s.serviceTime())
 	if now < s.coldUntil {
 		t *= coldFactor
 	}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/netip"
 	"time"
+
+	"github.com/monsoonthread/monsoonthread/serverload"
 )
 
 const (
@@ -55,8 +57,10 @@
 	listedServers   int     // servers with a record; updated only while there are failures
 	rate            float64 // requests per second of this instance's flows
 	flows           int32
-	serviceTimeSum  float64 // service times of the measured servers, in nanoseconds
-	measuredServers int32
+	ownSpeed        serverload.Sum // service times that this instance has measured
+	peerSpeed       serverload.Sum // service times that peers reported; updated with each report
+	meanServiceTime time.Duration  // 0 before the first interval
+	ackDelay        serverload.Delay
 
 	responseTime float64 // moving average of response times, queueing included, in nanoseconds
 }
@@ -141,6 +145,7 @@
 	s.unproven = in.Unconfirmed || returned || s.unproven && !newProcess
 	if newProcess {
 		s.answeredAt, s.addressSince = 0, now
+		s.meter.speed, s.meter.ownSpeed = serverload.Speed{}, serverload.Sum{} // of the earlier process
 	}
 	e.dropClaim(s)
 	e.setRecord(s, in)
--- a/serverload/answers.go
+++ b/serverload/answers.go
@@ -73,10 +73,13 @@
 	return Unclear
 }
 
+// Short reports whether an answer is much shorter than the usual one.
+func (a *Answers) Short(bytes uint32) bool { return float64(bytes) < refusalLength*a.length }
+
 // Refusal reports whether an answer is probably a refusal, which says nothing about the speed of
 // its server. elapsed and serviceTime exclude the delay of the acknowledgement.
 func (a *Answers) Refusal(bytes uint32, elapsed, serviceTime time.Duration) bool {
-	return float64(bytes) < refusalLength*a.length && float64(elapsed) < refusalTime*float64(serviceTime)
+	return a.Short(bytes) && float64(elapsed) < refusalTime*float64(serviceTime)
 }
 
 // AddLength updates the usual length.
--- a/serverload/delay.go
+++ b/serverload/delay.go
@@ -48,7 +48,9 @@
 }
 
 // OnlyLate reports whether all answers of the service are acknowledged late, so that the delay
-// stays unknown and only the ratios of the times are meaningful.
-func (d *Delay) OnlyLate() bool {
-	return d.kinds[Late].n >= withoutReference && d.kinds[TwoPacket].n == 0 && d.kinds[Closing].n == 0
+// stays unknown and only the ratios of the times are meaningful. It returns their mean.
+func (d *Delay) OnlyLate() (mean time.Duration, only bool) {
+	late := &d.kinds[Late]
+	only = late.n >= withoutReference && d.kinds[TwoPacket].n == 0 && d.kinds[Closing].n == 0
+	return time.Duration(late.mean), only
 }
--- a/serverload/serverload_test.go
+++ b/serverload/serverload_test.go
@@ -116,8 +116,9 @@
 	for range withoutReference {
 		d.Add(Late, 60*time.Millisecond)
 	}
-	if _, ok := d.Value(); ok || !d.OnlyLate() {
-		t.Error("a delay is known without a reference")
+	_, known := d.Value()
+	if mean, only := d.OnlyLate(); known || !only || mean != 60*time.Millisecond {
+		t.Errorf("delay known: %t, only late answers: %t with a mean of %v; want false, true, 60 ms", known, only, mean)
 	}
 }
 
