--- a/forwarding/load.go
+++ b/forwarding/load.go
@@ -331,6 +331,11 @@
 	return e
 }
 
+// relativeSpeed returns the server's speed relative to the mean of its service.
+func (s *server) relativeSpeed() float64 {
+	return s.service.serviceTime() / float64(max(s.estimate().serviceTime, 1))
+}
+
 // requestTime returns the estimated service time at the server, without queueing, in
 // nanoseconds.
 func (s *server) requestTime(now time.Duration) float64 {
@@ -368,3 +373,31 @@
 	rate := s.expectedRate()
 	return rate * serviceTime, rate*factor*float64(t.response)/slots + float64(s.pendingRequests)/slots, 1 / serviceTime
 }
+
+// minSpreadSamples is the number of samples from which a server's speed counts in LoadStats.
+const minSpreadSamples = 5
+
+// LoadStats describes what is known about the load of the servers, for metrics.
+type LoadStats struct {
+	Measured         int           // listed servers of the own failure domain with enough samples
+	Slowest, Fastest float64       // their lowest and highest speed, relative to their service; 1 without any
+	Reports          int           // sources whose reports count
+	OldestReport     time.Duration // age of the oldest of these reports
+}
+
+// LoadStats returns the current values.
+func (e *Engine) LoadStats(now time.Duration) LoadStats {
+	out := LoadStats{Slowest: 1, Fastest: 1, Reports: len(e.peerLoads)}
+	for _, p := range e.peerLoads {
+		out.OldestReport = max(out.OldestReport, now-p.at)
+	}
+	for _, s := range e.servers {
+		if !s.local || !s.listed || s.meter.knownSpeed().Samples() < minSpreadSamples {
+			continue
+		}
+		speed := s.relativeSpeed()
+		out.Measured++
+		out.Slowest, out.Fastest = min(out.Slowest, speed), max(out.Fastest, speed)
+	}
+	return out
+}
--- a/forwarding/load_test.go
+++ b/forwarding/load_test.go
@@ -6,6 +6,10 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonthread/monsoonthread/serverload"
 )
 
 // fleet simulates requests on long-lived flows to servers of different speeds, in steps of
@@ -214,3 +218,91 @@
 		t.Errorf("peer rate %v, want the sum of the last reports, 50", got)
 	}
 }
+
+// Guards against known load that drops out between the reports of a large failure domain, where a
+// report arrives every 2 s, sometimes late, and against a lost instance whose load stays.
+func TestLateReportsKeepLoad(t *testing.T) {
+	f := newFleet([]float64{1, 1})
+	loads := []Load{{Cookie: 1, Rate: 10, SampleSum: 200 * time.Millisecond, Samples: 5}}
+	now := time.Duration(0)
+	for _, gap := range []time.Duration{0, 2 * time.Second, 2400 * time.Millisecond, 2 * time.Second, 4 * time.Second, 2 * time.Second} {
+		for end := now + gap; now < end; now += 50 * time.Millisecond {
+			f.e.Tick(now)
+			if m := &f.e.servers["0"].meter; m.peerRate != 10 || m.peerSpeed.Samples() != 5 {
+				t.Fatalf("at %v the peer's load is %v requests/s with %v samples, want 10 and 5", now, m.peerRate, m.peerSpeed.Samples())
+			}
+		}
+		f.e.SetPeerLoads(now, "peer", loads)
+	}
+	f.e.Tick(now + maxPeerLoadLifetime + time.Second)
+	if m := &f.e.servers["0"].meter; m.peerRate != 0 || m.peerSpeed.Count != 0 {
+		t.Errorf("a lost peer's load is %v requests/s with %v samples", m.peerRate, m.peerSpeed.Samples())
+	}
+}
+
+// Guards against sums that keep parts of reports that were replaced or have expired, in whatever
+// order reports and records arrive.
+func TestPeerLoadsSumUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New(Config{Domain: "a", CookieLifetime: time.Minute, MaxFlows: 10, Seed: 1})
+		type report struct {
+			load Load
+			at   time.Duration
+		}
+		latest := make(map[string]report)
+		listed := make(map[uint32]bool)
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "gap")) * time.Millisecond
+			cookie := rapid.Uint32Range(1, 3).Draw(t, "cookie")
+			if rapid.IntRange(0, 4).Draw(t, "record") == 0 {
+				listed[cookie] = true
+				service := rapid.SampledFrom([]string{"orders", "stock"}).Draw(t, "service")
+				e.PutServer(now, Server{Name: fmt.Sprint(cookie), ID: uint64(cookie), Service: service, Domain: "a", Slots: 2, Revision: uint64(i + 1), Address: netip.MustParseAddrPort("10.0.0.9:80")})
+				continue
+			}
+			source := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "source")
+			l := Load{Cookie: cookie, Rate: 1, SampleSum: time.Duration(rapid.IntRange(1, 1e9).Draw(t, "sum")), Samples: float64(rapid.IntRange(1, 500).Draw(t, "samples")) / 100}
+			e.SetPeerLoads(now, source, []Load{l})
+			latest[source] = report{l, now}
+		}
+		// Every source reports once more, now that all records are there.
+		want := make(map[uint32]serverload.Sum)
+		for source, r := range latest {
+			e.SetPeerLoads(now, source, []Load{r.load})
+			sum := want[r.load.Cookie]
+			sum.Add(serverload.NewSum(r.load.SampleSum, r.load.Samples))
+			want[r.load.Cookie] = sum
+		}
+		var services serverload.Sum
+		for _, s := range e.services {
+			services.Add(s.peerSpeed)
+		}
+		for cookie := range listed {
+			if got := e.servers[fmt.Sprint(cookie)].meter.peerSpeed; got != want[cookie] {
+				t.Fatalf("server %d: %+v, want %+v", cookie, got, want[cookie])
+			}
+			services.Subtract(want[cookie])
+		}
+		if services != (serverload.Sum{}) {
+			t.Fatalf("the services' sums differ from those of their servers by %+v", services)
+		}
+		e.Tick(now + maxPeerLoadLifetime + time.Second)
+		for _, s := range e.servers {
+			if s.meter.peerSpeed != (serverload.Sum{}) || s.service.peerSpeed != (serverload.Sum{}) {
+				t.Fatalf("sums remain after all reports have expired: %+v", s.meter.peerSpeed)
+			}
+		}
+	})
+}
+
+// Guards against speeds that an instance learns only from its own requests after its start.
+func TestSpeedIsKnownFromFirstReport(t *testing.T) {
+	f := newFleet([]float64{1, 1})
+	f.e.SetPeerLoads(0, "peer", []Load{{Cookie: 1, SampleSum: 40 * 10 * time.Millisecond, Samples: 40}, {Cookie: 2, SampleSum: 40 * 40 * time.Millisecond, Samples: 40}})
+	f.e.Tick(rateInterval)
+	fast, slow := f.e.servers["0"].requestTime(rateInterval), f.e.servers["1"].requestTime(rateInterval)
+	if slow < 3*fast {
+		t.Errorf("service times %v and %v after a report of 10 and 40 ms", time.Duration(fast), time.Duration(slow))
+	}
+}
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -17,7 +17,10 @@
 	Usable                 bool // eligible for new flows
 	Flows, PendingRequests int  // open flows and pending requests of this instance
 	Rate                   float64
-	RequestTime            time.Duration
+	RequestTime            time.Duration // service time without queueing
+	ResponseTime           time.Duration // mean of the samples, with queueing
+	Speed                  float64       // relative to the mean of the service
+	Samples                float64       // decayed number of samples of all sources
 	Utilization            float64
 	Failures               float64 // decayed number of failed requests
 }
@@ -41,7 +44,8 @@
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address, Cookie: s.cookie,
 			State: state, StateReason: reason, Usable: s.usable(),
 			Flows: int(s.flows), PendingRequests: int(s.pendingRequests), Rate: s.meter.rate + s.meter.peerRate,
-			RequestTime: time.Duration(s.requestTime(now)), Utilization: s.utilization(now), Failures: s.failures.value(now),
+			RequestTime: time.Duration(s.requestTime(now)), ResponseTime: s.estimate().response, Speed: s.relativeSpeed(), Samples: s.meter.knownSpeed().Samples(),
+			Utilization: s.utilization(now), Failures: s.failures.value(now),
 		})
 	}
 	slices.SortFunc(out, func(a, b ServerView) int {
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -198,9 +198,10 @@
 
 func (r serversResult) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "SERVICE\tBACKEND SERVER\tFAILURE DOMAIN\tADDRESS\tFLOWS\tREQUESTS\tUSE\tSTATE\tWHY")
+	fmt.Fprintln(t, "SERVICE\tBACKEND SERVER\tFAILURE DOMAIN\tADDRESS\tFLOWS\tREQUESTS\tUSE\tTIME\tSPEED\tSAMPLES\tSTATE\tWHY")
 	for _, s := range r.Servers {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%.0f%%\t%s\t%s\n", s.Service, s.Name, s.Domain, s.Address, s.Flows, s.PendingRequests, 100*s.Utilization, s.stateSummary(), s.StateReason)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%.0f%%\t%.0fms\t%.2f\t%.0f\t%s\t%s\n", s.Service, s.Name, s.Domain, s.Address, s.Flows, s.PendingRequests, 100*s.Utilization,
+			1000*s.RequestTime, s.Speed, s.Samples, s.stateSummary(), s.StateReason)
 	}
 	t.Flush()
 	for _, e := range r.Errors {
@@ -246,7 +247,7 @@
 	return c
 }
 
-// mergeServers sums the flows and requests of each server over all instances. Utilization and
+// mergeServers sums the flows and requests of each server over all instances. Utilization, speed and
 // reason come from an instance in the server's own failure domain if one answered, because that
 // instance sees more of the server's requests.
 func mergeServers(found []forwarderStatus) serversResult {
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -52,6 +52,18 @@
 	gauge("forwarder_servers{state=\"usable\"}", func(s forwarding.Stats) float64 { return float64(s.Usable) })
 	gauge("forwarder_servers{state=\"listed\"}", func(s forwarding.Stats) float64 { return float64(s.Listed) })
 	gauge("forwarder_servers{state=\"failing\"}", func(s forwarding.Stats) float64 { return float64(s.Failing) })
+	loadGauge := func(name string, value func(forwarding.LoadStats) float64) {
+		set.NewGauge(name, func() float64 {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return value(f.engine.LoadStats(f.now()))
+		})
+	}
+	loadGauge("forwarder_servers_measured", func(s forwarding.LoadStats) float64 { return float64(s.Measured) })
+	loadGauge("forwarder_server_speed{bound=\"slowest\"}", func(s forwarding.LoadStats) float64 { return s.Slowest })
+	loadGauge("forwarder_server_speed{bound=\"fastest\"}", func(s forwarding.LoadStats) float64 { return s.Fastest })
+	loadGauge("forwarder_load_reports", func(s forwarding.LoadStats) float64 { return float64(s.Reports) })
+	loadGauge("forwarder_load_report_age_seconds", func(s forwarding.LoadStats) float64 { return s.OldestReport.Seconds() })
 	set.NewGauge("forwarder_records_revision", func() float64 {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/forwarder/status.go
+++ b/internal/forwarder/status.go
@@ -42,7 +42,7 @@
 		out.Servers = append(out.Servers, view.Server{
 			Name: s.Name, Service: s.Service, Domain: s.Domain, Address: s.Address.String(), Cookie: s.Cookie, State: s.State, StateReason: s.StateReason,
 			GetsNewFlows: s.Usable, Flows: s.Flows, PendingRequests: s.PendingRequests, Rate: s.Rate, RequestTime: s.RequestTime.Seconds(),
-			Utilization: s.Utilization, Failures: s.Failures,
+			ResponseTime: s.ResponseTime.Seconds(), Speed: s.Speed, Samples: s.Samples, Utilization: s.Utilization, Failures: s.Failures,
 		})
 	}
 	return out
--- a/internal/forwarder/view/view.go
+++ b/internal/forwarder/view/view.go
@@ -49,7 +49,10 @@
 	Flows           int     `json:"flows"`              // through this instance
 	PendingRequests int     `json:"requests_under_way"` // through this instance
 	Rate            float64 `json:"requests_per_s"`     // from the whole failure domain
-	RequestTime     float64 `json:"request_time_s"`
+	RequestTime     float64 `json:"request_time_s"`     // without queueing
+	ResponseTime    float64 `json:"response_time_s"`    // with queueing
+	Speed           float64 `json:"relative_speed"`     // 1 is the mean of the service
+	Samples         float64 `json:"speed_samples"`      // decaying number of measured answers that the speed rests on
 	Utilization     float64 `json:"utilization"`
 	Failures        float64 `json:"failures"` // number of failed requests, decaying over time
 }
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 	"time"
 
@@ -155,7 +156,7 @@
 		return b
 	}
 	b = protowire.AppendVarint(b, uint64(l.SampleSum/time.Microsecond))
-	return protowire.AppendVarint(b, uint64(l.Samples*rateScale))
+	return protowire.AppendVarint(b, uint64(math.Round(l.Samples*rateScale)))
 }
 
 func appendLeastLoaded(b []byte, d *DomainLeastLoaded) []byte {
