--- a/forwarding/uneven_test.go
+++ b/forwarding/uneven_test.go
@@ -149,7 +149,7 @@
 	}
 	for d, dom := range m.domains {
 		for i, e := range dom.engines {
-			m.every(50*time.Millisecond, func() { e.Tick(m.now) })
+			m.every(50*time.Millisecond, func() { m.perform(e, e.Tick(m.now)) })
 			m.every(250*time.Millisecond, func() { m.exchange(d, i) })
 		}
 		dom.arrivals = capacity[d] * utilization * *unevenShort
@@ -254,6 +254,21 @@
 	left     int
 }
 
+// perform answers the probes of servers that can be reached.
+func (m *unevenModel) perform(e *Engine, actions []Action) {
+	for _, a := range actions {
+		if a.Kind != Probe {
+			continue
+		}
+		s := m.servers[a.Target.Cookie-1]
+		if !s.removed && (s.domain.name == e.cfg.Domain || !m.domains[0].cut && !m.domains[1].cut) {
+			m.after(4*unevenTravel, func() {
+				m.perform(e, e.ApplyProbeResult(m.now, a.Server, ProbeResult{Outcome: Answered, Elapsed: 4 * unevenTravel, Incarnation: a.Incarnation}))
+			})
+		}
+	}
+}
+
 // unreachable reports whether a partition lies between the flow's instance and its server.
 func (f *modelFlow) unreachable() bool {
 	return f.server.domain.name != f.e.cfg.Domain && (f.server.domain.cut || f.dom.cut)
@@ -261,7 +276,8 @@
 
 func (f *modelFlow) packet(m *unevenModel, length uint16, finish bool) {
 	f.acked = f.ack
-	f.e.Packet(m.now, Packet{Flow: f.key, Cookie: f.cookie, Acknowledges: true, Sequence: f.seq, Acknowledgement: f.ack, Length: length, Finish: finish}, nil)
+	_, actions := f.e.Packet(m.now, Packet{Flow: f.key, Cookie: f.cookie, Acknowledges: true, Sequence: f.seq, Acknowledgement: f.ack, Length: length, Finish: finish}, nil)
+	m.perform(f.e, actions)
 	f.seq += uint32(length)
 }
 
@@ -276,7 +292,8 @@
 	m.port++
 	f := &modelFlow{dom: client, e: dom.engines[m.rng.IntN(len(dom.engines))], left: requests, seq: 1, ack: 1,
 		key: FlowKey{Client: 7 + m.port>>14, ClientPort: uint16(m.port & 0x3fff), Service: 10, ServicePort: port}}
-	d, _ := f.e.Packet(m.now, Packet{Flow: f.key, Open: true}, []byte("syn"))
+	d, actions := f.e.Packet(m.now, Packet{Flow: f.key, Open: true}, []byte("syn"))
+	m.perform(f.e, actions)
 	if d.Verdict != Forward {
 		return
 	}
