--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -88,7 +88,10 @@
 	passedOverCold bool   // the current choice has passed over a cold server
 	keptFromCold   uint64 // opening packets that were kept from cold servers
 
-	peerLoads map[string]peerLoads
+	peerLoads     map[string]peerLoads
+	ackDelay      time.Duration // last known delay of acknowledgements of any service
+	ackDelayKnown bool
+
 	handshake float64 // moving average of handshake times, in nanoseconds
 	nextRates time.Duration
 
@@ -199,7 +202,7 @@
 	if len(e.flows) < e.cfg.MaxFlows {
 		f = e.track(now, p.Flow, s, r.kind)
 		f.seq = p.Sequence
-		e.addExpectedRate(s)
+		e.addExpectedRate(s, r)
 		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
 	}
 	return Decision{Verdict: Forward, Reason: Chosen, Target: s.target()}, actions
@@ -229,6 +232,7 @@
 				return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
 			}
 			f, newlyTracked = e.track(now, p.Flow, s, e.routeKind(p.Flow)), true
+			f.answers = manyAnswers // its earlier answers are unknown
 		} else if s != nil {
 			// The cookie names the server whose answer reached the client.
 			e.assign(f, s)
@@ -237,6 +241,7 @@
 		if f.state == opening && !newlyTracked && p.Acknowledges {
 			handshake = now - duration(f.sentAt)
 			elapsed = handshake
+			f.handshake = uint16(min(millis(handshake), maxFlowHandshake))
 			e.handshake += (float64(elapsed) - e.handshake) * handshakeGain
 		}
 		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
@@ -289,15 +294,21 @@
 }
 
 func (e *Engine) routeKind(k FlowKey) RouteKind {
-	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
-		return r.kind
-	}
-	if r := e.retired[routeKey{k.Service, k.ServicePort}]; r != nil {
+	if r := e.routeOf(k); r != nil {
 		return r.kind
 	}
 	return NonIdempotent // the kind with the fewest assumptions
 }
 
+// routeOf returns the route of a flow, also one that the version in force lacks; nil if it is
+// unknown.
+func (e *Engine) routeOf(k FlowKey) *route {
+	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
+		return r
+	}
+	return e.retired[routeKey{k.Service, k.ServicePort}]
+}
+
 // Tick runs the timers. The owner calls it about every 50 ms.
 func (e *Engine) Tick(now time.Duration) []Action {
 	if now-e.lastTick > maxTickGap {
