Refuse new flows by priority when capacity is short

New flows of every class went to servers that shed, so the urgent class, which opens a flow for each request, lost most when long flows of the normal class kept the servers full. Package admission decides about new flows from the load and the mix of classes of this instance, with evidence of overload (shed, late and overdue answers) beside the estimate.

--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -1,6 +1,27 @@
 package forwarding
 
-import "time"
+import (
+	"time"
+
+	"github.com/monsoonthread/monsoonthread/admission"
+)
+
+const (
+	// admitAllTime is the time after a start or a pause of the process in which all new flows are
+	// admitted: rates and evidence are incomplete.
+	admitAllTime = time.Second
+	// ackDelay is how long clients delay the acknowledgement of a single-packet answer on a flow that
+	// stays open.
+	ackDelay = 40 * time.Millisecond
+	// An answer is short if it has at most 1/shortAnswerRatio of the usual size of its class.
+	shortAnswerRatio = 4
+	// answerSizeGain is the weight of an answer in the usual size of its class.
+	answerSizeGain = 1.0 / 16
+	// maxAnswerSize bounds what one acknowledgement of a download adds to the usual size.
+	maxAnswerSize = 1 << 20
+	// ownPartGain averages the instance's part of the requests over about five seconds.
+	ownPartGain = 0.05
+)
 
 // flowClass is what admission control knows about the flows of a route.
 type flowClass struct {
@@ -8,18 +29,177 @@
 	priority    int
 	objective   time.Duration
 	timeout     time.Duration
+	kind        RouteKind
 }
 
 func newFlowClass(r *Route) flowClass {
-	return flowClass{prioritised: r.Prioritised, priority: r.Priority, objective: r.Objective, timeout: r.Timeout}
+	return flowClass{prioritised: r.Prioritised, priority: r.Priority, objective: r.Objective, timeout: r.Timeout, kind: r.Kind}
+}
+
+// classIndex returns the index of the class, which stays valid, or 0 for flows that are never
+// refused: those without a priority, and those of further classes when all indices are taken.
+func (e *Engine) classIndex(c flowClass) uint8 {
+	if !c.prioritised {
+		return 0
+	}
+	for i, known := range e.flowClasses {
+		if known == c {
+			return uint8(i + 1)
+		}
+	}
+	if len(e.flowClasses) >= admission.MaxFlowClasses-1 {
+		return 0
+	}
+	e.flowClasses = append(e.flowClasses, c)
+	return uint8(len(e.flowClasses))
+}
+
+// serviceAdmission is the admission control of a service with prioritised routes.
+type serviceAdmission struct {
+	controller *admission.FlowController
+	usualSize  [admission.MaxFlowClasses]float64 // of answers, in bytes
+	decisions  [admission.MaxFlowClasses][admission.NumFlowReasons]uint64
+	used       [admission.MaxFlowClasses]bool
+	nextSlots  time.Duration
+	// ownRate and allRate are averages of the requests per second of this instance and of all.
+	ownRate, allRate float64
 }
 
+// enableAdmission enables admission control for the services of a prioritised route.
+func (e *Engine) enableAdmission(r *route) {
+	r.classIndex = e.classIndex(r.class)
+	if r.classIndex == 0 {
+		return
+	}
+	for _, w := range r.services {
+		a := w.service.admission
+		if a == nil {
+			a = &serviceAdmission{controller: admission.NewFlowController(e.rng.Uint64())}
+			w.service.admission = a
+		}
+		a.used[r.classIndex] = true
+		a.controller.SetClass(int(r.classIndex), admission.FlowClass{Priority: r.class.priority, Objective: r.class.objective, Timeout: r.class.timeout})
+	}
+}
+
+// FlowRefusal holds what the refusal of a new flow was based on.
+type FlowRefusal struct {
+	Service            string
+	Server             string // the best eligible one
+	Priority           int
+	Utilization, Limit float64 // by classes that are at least as urgent
+	ServerUtilization  float64
+	Wait               time.Duration
+	Timeout            time.Duration
+}
+
+// LastRefusal returns the last refusal by admission control.
+func (e *Engine) LastRefusal() FlowRefusal { return e.lastRefusal }
+
 // admit reports whether a new flow of the route may go to the server, the best one for it.
-func (e *Engine) admit(now time.Duration, r *route, s *server) (bool, Reason) { return true, Chosen }
+func (e *Engine) admit(now time.Duration, r *route, s *server) (bool, Reason) {
+	a := s.service.admission
+	if r.classIndex == 0 || a == nil {
+		return true, Chosen
+	}
+	load := e.flowLoad(now, s)
+	d := a.controller.Admit(now, int(r.classIndex), load)
+	if !e.complete || now < max(e.configuredAt, e.runningSince)+admitAllTime {
+		d.Reason = admission.FlowAdmitted
+	}
+	a.decisions[r.classIndex][d.Reason]++
+	if d.Reason == admission.FlowAdmitted {
+		return true, Chosen
+	}
+	e.lastRefusal = FlowRefusal{Service: s.service.name, Server: s.Name, Priority: r.class.priority, Utilization: d.Utilization, Limit: d.Limit,
+		ServerUtilization: load.Utilization, Wait: load.Wait, Timeout: r.class.timeout}
+	if d.Reason == admission.FlowDeadlineUnmet {
+		return false, DeadlineUnmet
+	}
+	return false, Overloaded
+}
+
+// flowLoad returns the load of a server with one more flow. Failures of single servers must not
+// count as load.
+func (e *Engine) flowLoad(now time.Duration, s *server) admission.FlowLoad {
+	utilization := s.utilization(now) / s.failurePenalty(now)
+	serviceTime := s.requestTime(now)
+	return admission.FlowLoad{Utilization: utilization, ServiceTime: time.Duration(serviceTime),
+		Wait: time.Duration(serviceTime * admission.ExpectedWait(max(s.Slots, 1), utilization)), FlowRate: s.service.flowRate(), Remote: !s.local}
+}
+
+// updateAdmission updates the limits of all services.
+func (e *Engine) updateAdmission(now time.Duration) {
+	if len(e.flowClasses) == 0 {
+		return
+	}
+	for _, svc := range e.services {
+		if a := svc.admission; a != nil && now >= a.nextSlots {
+			a.nextSlots = now + rateInterval
+			a.controller.SetSlots(svc.ownSlots(a))
+		}
+		if svc.admission != nil {
+			svc.admission.controller.Update(now)
+		}
+	}
+}
+
+// ownSlots returns this instance's part of the slots of the own failure domain. Rates of other
+// instances lag behind, so the part is averaged over several seconds.
+func (s *service) ownSlots(a *serviceAdmission) float64 {
+	var slots, own, all float64
+	for _, o := range s.local {
+		if !o.usable() {
+			continue
+		}
+		m := &o.meter
+		slots += float64(o.Slots)
+		own += m.rate + m.expectedRate
+		all += m.rate + m.expectedRate + m.peerRate
+	}
+	a.ownRate += (own - a.ownRate) * ownPartGain
+	a.allRate += (all - a.allRate) * ownPartGain
+	if a.allRate < minReportedRate {
+		return 0
+	}
+	return slots * a.ownRate / a.allRate
+}
+
+// countClassRequest counts a request of an open flow.
+func (e *Engine) countClassRequest(f *flow) {
+	if a := f.server.service.admission; a != nil {
+		a.controller.CountRequest(int(f.class))
+	}
+}
 
 // observeAnswer learns from the answer to a request of an open flow: the time since the request was
 // sent and the bytes that the client acknowledges.
-func (e *Engine) observeAnswer(now time.Duration, f *flow, elapsed time.Duration, bytes uint32) {}
+func (e *Engine) observeAnswer(now time.Duration, f *flow, elapsed time.Duration, bytes uint32) {
+	a := f.server.service.admission
+	if a == nil {
+		return
+	}
+	if bytes < immediateAckBytes {
+		elapsed = max(elapsed-ackDelay, 0) // the acknowledgement was probably delayed
+	}
+	size := &a.usualSize[f.class]
+	x := float64(min(bytes, maxAnswerSize))
+	// A server sheds a request with a short answer at once. A class whose answers are all short
+	// has no shorter ones, so they count as answers.
+	if x*shortAnswerRatio <= *size && elapsed < time.Duration(f.server.requestTime(now)) {
+		a.controller.Observe(int(f.class), f.server.cookie, elapsed, admission.FlowShed)
+		return
+	}
+	if *size == 0 {
+		*size = x
+	}
+	*size += (x - *size) * answerSizeGain
+	a.controller.Observe(int(f.class), f.server.cookie, elapsed, admission.FlowAnswered)
+}
 
 // observeOverdue learns from a request that has made no progress for too long.
-func (e *Engine) observeOverdue(now time.Duration, f *flow) {}
+func (e *Engine) observeOverdue(now time.Duration, f *flow) {
+	if a := f.server.service.admission; a != nil {
+		a.controller.Observe(int(f.class), f.server.cookie, now-duration(f.sentAt), admission.FlowOverdue)
+	}
+}
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -61,6 +61,7 @@
 type route struct {
 	kind        RouteKind
 	class       flowClass
+	classIndex  uint8 // of the class; 0 if its flows are never refused
 	services    []weightedService
 	totalWeight uint32
 	// pastServices holds every service that the route has used in a version known to this
@@ -122,6 +123,7 @@
 		r.totalWeight += w.Weight
 		r.pastServices = append(r.pastServices, s)
 	}
+	e.enableAdmission(r)
 	for _, b := range previous {
 		if b == nil {
 			continue
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -76,10 +76,12 @@
 	runningSince       time.Duration // time of the first tick after the last pause of the process
 	byAddress          map[netip.AddrPort][]*server
 
-	evacuated map[string]struct{} // failure domains
-	peerLoads map[string]peerLoads
-	handshake float64 // moving average of handshake times, in nanoseconds
-	nextRates time.Duration
+	evacuated   map[string]struct{} // failure domains
+	peerLoads   map[string]peerLoads
+	flowClasses []flowClass // of the prioritised routes; the class with index i is at position i-1
+	lastRefusal FlowRefusal
+	handshake   float64 // moving average of handshake times, in nanoseconds
+	nextRates   time.Duration
 
 	prefixes *admission.PrefixLimiter // nil without a limit
 
@@ -184,6 +186,7 @@
 	}
 	if len(e.flows) < e.cfg.MaxFlows {
 		f = e.track(now, p.Flow, s, r.kind)
+		f.class = r.classIndex
 		f.seq = p.Sequence
 		e.addExpectedRate(s)
 		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
@@ -215,6 +218,7 @@
 				return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
 			}
 			f, newlyTracked = e.track(now, p.Flow, s, e.routeKind(p.Flow)), true
+			f.class = e.routeClass(p.Flow)
 		} else if s != nil {
 			// The cookie names the server whose answer reached the client.
 			e.assign(f, s)
@@ -274,6 +278,14 @@
 	return sameCookie[0], ByCookie
 }
 
+// routeClass returns the index of the class of a flow whose opening packet this instance has not seen.
+func (e *Engine) routeClass(k FlowKey) uint8 {
+	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
+		return r.classIndex
+	}
+	return 0
+}
+
 func (e *Engine) routeKind(k FlowKey) RouteKind {
 	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
 		return r.kind
@@ -301,6 +313,7 @@
 	e.expire(now)
 	e.expirePeerLoads(now)
 	actions = append(actions, e.measureRates(now)...)
+	e.updateAdmission(now)
 	if now >= e.nextForget {
 		e.nextForget = now + forgetInterval
 		e.forgetServers(now)
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -23,8 +23,9 @@
 	sentAt         uint32 // first transmission of the data that waits for an answer
 	state          flowState
 	kind           RouteKind
-	requestPending bool // a request is sent and not answered
-	overdue        bool // the pending request was counted as failed
+	class          uint8 // index of the route's class
+	requestPending bool  // a request is sent and not answered
+	overdue        bool  // the pending request was counted as failed
 }
 
 func millis(d time.Duration) uint32    { return uint32(d / time.Millisecond) }
@@ -113,6 +114,7 @@
 			e.setRequestPending(now, f, true)
 			f.sentAt, f.overdue = millis(now), false
 			e.countRequest(f.server)
+			e.countClassRequest(f)
 		}
 		return nil
 	}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -47,8 +47,9 @@
 	named             bool // a configuration has named it
 	healthPath        string
 	limits            ServiceLimits
-	local, remote     []*server // listed servers of the own and of other failure domains
-	remoteLeastLoaded []*server // least loaded servers as reported by other domains
+	admission         *serviceAdmission // nil without prioritised routes
+	local, remote     []*server         // listed servers of the own and of other failure domains
+	remoteLeastLoaded []*server         // least loaded servers as reported by other domains
 
 	// Sums over the servers, updated once per interval.
 	failures        float64 // decayed number of failed requests at the listed servers
