Test floods by class, show admission control to operators

Refusals were visible only as resets. The status of a forwarder now has the state of each class (evidence, utilization, limit, share, numbers admitted and refused), the metrics count new flows by service, priority, route kind and reason, and the log line of a refusal holds its inputs. Service times are measured without the time on the network, the rate of a long flow from the time between its requests, and the guaranteed share is corrected like the limits.

--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -15,11 +15,16 @@
 	serverSlots = 2
 	serverQueue = 8
 	// tolerableLoss is the share of requests that a server may shed because of the randomness of
-	// arrivals. The urgent class must keep 0.97 of its requests in a flood of the others.
-	tolerableLoss = 0.03
+	// arrivals. Clients repeat a shed request up to twice, so that of the urgent class far less than
+	// 0.03, the share that it may lose in a flood of the others, fails.
+	tolerableLoss = 0.05
 	// guaranteedShare of the capacity is divided equally among the priority levels but the most
 	// urgent one. A class below its part is not refused because of overload.
 	guaranteedShare = 0.1
+	// guaranteeMargin raises the guaranteed share, because costs are estimates: the expected rate of
+	// new long flows is too high while most flows have one request. Without it, a class got up to 13%
+	// less than its share.
+	guaranteeMargin = 1.5
 	// reserveGrowth is the headroom by which a level may grow within its guaranteed share before
 	// more urgent levels have to leave it room.
 	reserveGrowth = 1.25
@@ -38,7 +43,7 @@
 	// The limits are multiplied by a factor that corrects errors of the estimated utilization: it
 	// falls while flows are lost although the estimate is within the limit and rises slowly otherwise.
 	factorDecrease = 0.9
-	factorIncrease = 0.02
+	factorIncrease = 0.04
 	// Late and overdue answers may have causes other than load, so they lower the limits less than
 	// shed ones. The lower bounds keep a wrong estimate from refusing flows at half of the capacity.
 	minFactor     = 0.6
@@ -52,6 +57,10 @@
 	idleRatio = 2.0
 	// perFlowGain is the weight of an interval in the requests a flow: flows live for many seconds.
 	perFlowGain = 0.02
+	// intervalGain is the weight of a sample in the mean time between the requests of a flow, and
+	// maxFlowRate bounds the requests per second that it yields.
+	intervalGain = 1.0 / 32
+	maxFlowRate  = 10.0
 	// limitHold is the time without evidence and without need for refusals after which the limits
 	// are lifted. Each instance adds a random part of the same length.
 	limitHold = 2 * time.Second
@@ -118,8 +127,10 @@
 	flows       float64 // new flows in the current interval
 	flowRate    float64 // slow average of new flows per second
 	requestRate float64 // slow average of requests per second
+	interval    float64 // mean time between the requests of a flow, in seconds
 	quantile    float64 // of response times, in nanoseconds
 	samples     float64
+	ceiling     float64 // quantile before the limits applied
 	load        float64 // slots that the requests of this instance's flows use
 	least       bool    // no class is less urgent
 	most        bool    // no class is more urgent
@@ -149,6 +160,7 @@
 	updatedAt  time.Duration
 	slots      float64 // this instance's part of the slots of the failure domain
 	busy       float64 // slots that the flows of this instance need
+	offered    float64 // average utilization over the time that the evidence covers
 	answers    float64 // decayed number of outcomes
 	bad, shed  float64 // of these, those that show an overload, and those that servers shed
 	badServer  uint32  // server of the last bad outcome
@@ -226,8 +238,8 @@
 // requests; the first request of each flow is counted when it is sent.
 func (c *FlowController) addFlow(k *flowClass, rate float64) {
 	k.flows++
-	if k.flowRate > 0 {
-		rate *= max(1-k.flowRate/k.requestRate, 0)
+	if k.flowRate > 0 && k.requestRate > 0 && k.interval > 0 {
+		rate = min(1/k.interval, maxFlowRate) * max(1-k.flowRate/k.requestRate, 0)
 	}
 	k.expected += rate
 	c.busy += rate * k.serviceTime()
@@ -250,6 +262,9 @@
 	if !k.most {
 		limit = min(limit, randomArrivalLimit)
 	}
+	if k.most {
+		return limit * max(c.factor, 1)
+	}
 	return limit * c.factor
 }
 
@@ -258,11 +273,25 @@
 	if k.most {
 		return 0
 	}
-	return guaranteedShare / float64(c.levels-1)
+	return c.levelShare() * max(c.factor, 1)
+}
+
+// levelShare returns the share of the capacity that each priority level but the most urgent one is
+// guaranteed, as the estimates have it.
+func (c *FlowController) levelShare() float64 {
+	return guaranteedShare * guaranteeMargin / float64(max(c.levels-1, 1))
 }
 
-// CountRequest counts a request of the class.
-func (c *FlowController) CountRequest(index int) { c.classes[index].requests++ }
+// CountRequest counts a request of the class. interval is the time since the flow's last request, or
+// since it was opened.
+func (c *FlowController) CountRequest(index int, interval time.Duration) {
+	k := &c.classes[index]
+	k.requests++
+	if k.interval == 0 {
+		k.interval = interval.Seconds()
+	}
+	k.interval += (interval.Seconds() - k.interval) * intervalGain
+}
 
 // Observe learns from the outcome of a request of the class at a server. Consecutive bad outcomes
 // at the same server count once, so that a single slow or failing server is no overload.
@@ -286,7 +315,8 @@
 }
 
 // addSample adds a response time. In an overload, all response times include queueing, so the
-// estimate only falls; the factor of the limits allows for servers that have become slower.
+// estimate does not rise above its value before; the factor of the limits allows for servers that
+// have become slower.
 func (k *flowClass) addSample(x float64, overloaded bool) {
 	k.samples++
 	step := 2 * k.quantile * max(classQuantileStep, 0.5/k.samples)
@@ -295,9 +325,13 @@
 		k.quantile = x
 	case x < k.quantile:
 		k.quantile -= step * (1 - classQuantile)
-	case !overloaded:
+	default:
 		k.quantile += step * classQuantile
 	}
+	if !overloaded {
+		k.ceiling = k.quantile
+	}
+	k.quantile = min(k.quantile, k.ceiling)
 }
 
 // Update updates rates and limits. The owner calls it more often than every 200 ms.
@@ -318,6 +352,9 @@
 		k.requests, k.flows = 0, 0
 	}
 	c.refresh()
+	if c.slots > 0 {
+		c.offered += (c.busy/c.slots - c.offered) * (1 - evidenceDecay)
+	}
 	c.adjust(now)
 	c.answers *= evidenceDecay
 	c.bad *= evidenceDecay
@@ -333,7 +370,7 @@
 		c.hold = limitHold + time.Duration(c.random()*float64(limitHold))
 		c.switches++
 	case overloaded && c.shed >= saturatedLoss*c.answers && c.slots > 0:
-		capacity := c.busy / c.slots * (1 - c.shed/c.answers)
+		capacity := c.offered * (1 - c.shed/c.answers)
 		c.factor = min(max(c.factor+(capacity-c.factor)*factorGain, minFactor), farUtilization)
 	case overloaded && !c.beyondLimit() && now-c.loweredAt >= time.Second:
 		lowest := minFactorLate
@@ -404,9 +441,8 @@
 			k.most = k.most && !o.known
 		case o.Priority > k.Priority:
 			k.least = false
-			if total > 0 {
-				used := reserveGrowth * o.load / total
-				k.reserved += min(used, guaranteedShare/float64(max(c.levels-1, 1)))
+			if c.slots > 0 {
+				k.reserved += min(reserveGrowth*o.load/c.slots, c.levelShare())
 			}
 		case o.quantile > 0:
 			sameTime += o.quantile
@@ -435,9 +471,22 @@
 	return FlowClassState{Share: k.share, Utilization: k.utilization, Limit: c.limit(k), ServiceTime: time.Duration(k.quantile * classMeanRatio)}
 }
 
-// Limiting reports whether the limits apply, with the share of the recent requests that show an overload.
-func (c *FlowController) Limiting() (limiting bool, evidence float64) {
-	return c.limiting, c.bad / max(c.answers, 1)
+// FlowControllerState is the state of a FlowController for operators.
+type FlowControllerState struct {
+	Limiting    bool    // the limits apply
+	Evidence    float64 // share of the recent requests that shows an overload
+	Factor      float64 // correction of the limits
+	Utilization float64 // of the failure domain, estimated from this instance's flows; 0 if unknown
+	Switches    int     // times that Limiting has changed
+}
+
+// State returns the state of the controller.
+func (c *FlowController) State() FlowControllerState {
+	s := FlowControllerState{Limiting: c.limiting, Evidence: c.bad / max(c.answers, 1), Factor: c.factor, Switches: c.switches}
+	if c.slots > 0 {
+		s.Utilization = c.busy / c.slots
+	}
+	return s
 }
 
 // randomArrivalLimit is the utilization at which a server sheds tolerableLoss of its requests
--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -165,10 +165,10 @@
 	return slots * a.ownRate / a.allRate
 }
 
-// countClassRequest counts a request of an open flow.
-func (e *Engine) countClassRequest(f *flow) {
+// countClassRequest counts a request of an open flow, before the flow's state records it.
+func (e *Engine) countClassRequest(now time.Duration, f *flow) {
 	if a := f.server.service.admission; a != nil {
-		a.controller.CountRequest(int(f.class))
+		a.controller.CountRequest(int(f.class), now-duration(f.sentAt))
 	}
 }
 
@@ -194,6 +194,7 @@
 		*size = x
 	}
 	*size += (x - *size) * answerSizeGain
+	elapsed = max(elapsed-time.Duration(e.handshake), elapsed/2) // without the time on the network
 	a.controller.Observe(int(f.class), f.server.cookie, elapsed, admission.FlowAnswered)
 }
 
--- a/forwarding/admit_test.go
+++ b/forwarding/admit_test.go
@@ -14,14 +14,7 @@
 type floodScenario struct {
 	name           string
 	normal, urgent float64 // factor on the load of the class during the flood
-	slow           bool    // a third of the servers is four times slower during the flood
-}
-
-var floodScenarios = []floodScenario{
-	{"no overload", 1, 1, false},
-	{"normal class x5", 5, 1, false},
-	{"all classes x4, slow servers", 4, 4, true},
-	{"urgent class x5", 1, 5, false},
+	slowdown       float64 // factor on the work of a third of the servers during the flood; above 4, of one server
 }
 
 // replayFlood replays a scenario: 12 servers at half of their capacity, 0.35 by long flows of the
@@ -35,13 +28,11 @@
 			return 1
 		}
 	}
-	if sc.slow {
-		o.slow = func(server int, now time.Duration) float64 {
-			if server%3 == 0 && inFlood(now) {
-				return 4
-			}
-			return 1
+	o.slow = func(server int, now time.Duration) float64 {
+		if inFlood(now) && (server == 0 || server%3 == 0 && sc.slowdown <= 4) {
+			return sc.slowdown
 		}
+		return 1
 	}
 	o.engines, o.servers = 6, 12
 	r := newReplay(o,
@@ -55,18 +46,152 @@
 
 var replaySpeeds = map[string][]float64{"equal": {1}, "uneven": {0.7, 0.7, 1.7}}
 
-// Reports the outcome of each load by class, with and without priorities.
-func TestFloodTable(t *testing.T) {
-	for _, sc := range floodScenarios {
-		for _, speeds := range []string{"equal", "uneven"} {
-			for _, exchange := range []time.Duration{250 * time.Millisecond, 2 * time.Second} {
-				for _, unprioritised := range []bool{true, false} {
-					name := fmt.Sprintf("%s, %s speeds, loads every %v, priorities %t", sc.name, speeds, exchange, !unprioritised)
-					r := replayFlood(sc, replayOptions{speeds: replaySpeeds[speeds], exchange: exchange, unprioritised: unprioritised, seed: 1})
-					r.run(floodTo + 7*time.Second)
-					t.Logf("%s\n%s", name, r.table())
-				}
+// eachDeployment runs a scenario over equal and uneven servers and short and long intervals between
+// load reports.
+func eachDeployment(t *testing.T, sc floodScenario, check func(t *testing.T, o replayOptions, r *replay)) {
+	for _, speeds := range []string{"equal", "uneven"} {
+		for _, exchange := range []time.Duration{250 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s, %s speeds, loads every %v", sc.name, speeds, exchange), func(t *testing.T) {
+				o := replayOptions{speeds: replaySpeeds[speeds], exchange: exchange, seed: 1}
+				r := replayFlood(sc, o)
+				r.run(floodTo + 12*time.Second)
+				t.Logf("\n%s", r.table())
+				check(t, o, r)
+			})
+		}
+	}
+}
+
+// slotShare returns the share of the slot time in the measured span that a class used.
+func (r *replay) slotShare(class int) float64 {
+	return r.busy[class].Seconds() / (float64(replaySlots*len(r.servers)) * (floodTo - floodFrom).Seconds())
+}
+
+const urgent, normal = 0, 1
+
+// Guards against refusals while the servers have capacity, also with a server that is ten times
+// slower and sheds.
+func TestNothingIsRefusedWithoutOverload(t *testing.T) {
+	for _, sc := range []floodScenario{{"half of the capacity", 1, 1, 1}, {"three quarters of the capacity", 1.5, 1.5, 1}, {"one slow server", 1, 1, 10}} {
+		eachDeployment(t, sc, func(t *testing.T, o replayOptions, r *replay) {
+			if n := r.counts[urgent][refused] + r.counts[normal][refused]; n > 0 {
+				t.Errorf("%d requests refused", n)
+			}
+		})
+	}
+}
+
+// Guards against long flows of the normal class that leave the urgent class no capacity, against
+// refusing more of the normal class than that takes, and against limits that come and go.
+func TestUrgentClassSurvivesFloodOfNormalClass(t *testing.T) {
+	eachDeployment(t, floodScenario{"normal class x5", 5, 1, 1}, func(t *testing.T, o replayOptions, r *replay) {
+		if got := r.share(urgent, inTime); got < 0.97 {
+			t.Errorf("%.3f of the urgent requests in time, want 0.97", got)
+		}
+		// The servers bear a utilization of 0.82 with random arrivals, of which the urgent class needs 0.15.
+		if got := r.slotShare(normal); got < 0.67 {
+			t.Errorf("the normal class uses %.2f of the capacity, want 0.67", got)
+		}
+		for i, e := range r.engines {
+			if s := e.services["orders"].admission.controller.State(); s.Limiting || s.Switches > 2 {
+				t.Errorf("engine %d: %+v; limits must start and end once", i, s)
 			}
 		}
+	})
+}
+
+// Guards against an urgent class that loses more than the normal one when servers are slow, or
+// more than without priorities.
+func TestUrgentClassLosesLessWhenServersAreSlow(t *testing.T) {
+	eachDeployment(t, floodScenario{"all classes x4, a third of the servers slow", 4, 4, 4}, func(t *testing.T, o replayOptions, r *replay) {
+		o.unprioritised = true
+		before := replayFlood(floodScenario{"", 4, 4, 4}, o)
+		before.run(floodTo + 7*time.Second)
+		t.Logf("without priorities\n%s", before.table())
+		if got := r.share(urgent, inTime); got < r.share(normal, inTime) || got < before.share(urgent, inTime) {
+			t.Errorf("%.3f of the urgent requests in time, %.3f of the normal ones, %.3f of the urgent ones without priorities",
+				got, r.share(normal, inTime), before.share(urgent, inTime))
+		}
+	})
+}
+
+// Guards against a flood of the most urgent class that takes the capacity guaranteed to the others.
+func TestNormalClassKeepsItsGuaranteedShare(t *testing.T) {
+	eachDeployment(t, floodScenario{"urgent class x10", 1, 10, 1}, func(t *testing.T, o replayOptions, r *replay) {
+		if got := r.slotShare(normal); got < 0.1 {
+			t.Errorf("the normal class uses %.3f of the capacity, want 0.1", got)
+		}
+	})
+}
+
+// Guards against refusals by an instance that knows too little: in its first second, and before
+// its records are complete.
+func TestNoRefusalRightAfterStart(t *testing.T) {
+	r := replayFlood(floodScenario{"", 5, 1, 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: 250 * time.Millisecond, seed: 1})
+	r.run(floodTo)
+	e := r.engines[0]
+	route := e.routes[routeKey{10, 2}]
+	refusals := func() (n int) {
+		for range 100 {
+			if ok, _ := e.admit(r.now, route, e.servers["0"]); !ok {
+				n++
+			}
+		}
+		return n
+	}
+	if refusals() == 0 {
+		t.Fatal("no refusal in a flood")
+	}
+	e.complete = false
+	if n := refusals(); n > 0 {
+		t.Errorf("%d refusals without complete records", n)
+	}
+	e.complete, e.configuredAt = true, r.now-admitAllTime+1
+	if n := refusals(); n > 0 {
+		t.Errorf("%d refusals in the first second", n)
 	}
 }
+
+// Guards against taking the usual short answers of a class for those of a server that sheds, and
+// against missing the latter.
+func TestShedAnswersAreRecognised(t *testing.T) {
+	for _, c := range []struct {
+		usual uint32
+		want  bool
+	}{{answerBytes, true}, {2 * shedBytes, false}} {
+		e := replayFlood(floodScenario{"", 1, 1, 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: time.Second}).engines[0]
+		f := &flow{server: e.servers["0"], class: 1}
+		for range 100 {
+			e.observeAnswer(0, f, 70*time.Millisecond, c.usual)
+		}
+		e.observeAnswer(0, f, 8*time.Millisecond, shedBytes)
+		if got := e.services["orders"].admission.controller.State().Evidence > 0; got != c.want {
+			t.Errorf("usual size %d: short answer counts as shed: %t", c.usual, got)
+		}
+	}
+}
+
+// BenchmarkPrioritised measures decisions with admission control. The targets are 1 µs for a new
+// flow and 100 ns more for a packet of an open flow, without allocations.
+func BenchmarkPrioritised(b *testing.B) {
+	e, keys := newPopulatedEngine(12000, 10000)
+	e.Configure(0, &Configuration{Version: 2, Routes: []Route{
+		{Address: 10, Port: 443, Services: []ServiceWeight{{"orders", 1}}, Prioritised: true, Objective: time.Second, Timeout: time.Second}}})
+	e.SetComplete()
+	r := e.routes[routeKey{10, 443}]
+	b.Run("open", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			e.admit(2*time.Second, r, e.choose(2*time.Second, r))
+		}
+	})
+	b.Run("request and answer", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			f := e.flows[keys[i%len(keys)]]
+			f.class = r.classIndex
+			e.Packet(time.Millisecond, Packet{Flow: f.key, Cookie: f.server.cookie, Acknowledges: true, Sequence: f.seq, Acknowledgement: f.ack, Length: 100}, nil)
+			e.Packet(2*time.Millisecond, Packet{Flow: f.key, Cookie: f.server.cookie, Acknowledges: true, Sequence: f.seq, Acknowledgement: f.ack + 1400}, nil)
+		}
+	})
+}
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -112,9 +112,9 @@
 		f.seq = end
 		if !f.requestPending && f.state == open {
 			e.setRequestPending(now, f, true)
+			e.countClassRequest(now, f)
 			f.sentAt, f.overdue = millis(now), false
 			e.countRequest(f.server)
-			e.countClassRequest(f)
 		}
 		return nil
 	}
--- a/forwarding/replay_test.go
+++ b/forwarding/replay_test.go
@@ -47,7 +47,7 @@
 	measured func(now time.Duration) bool // whether a request that starts now counts
 	counts   [][numOutcomes]int           // by class
 	opened   []int                        // flows opened, by class
-	busy     []time.Duration              // work done, by class, in the measured span
+	busy     []time.Duration              // slot time by class, in the measured span
 	onTick   func()
 }
 
@@ -58,7 +58,6 @@
 	ends  []time.Duration                 // of the requests that run or wait
 	free  [2]time.Duration                // when each slot is free
 	shed  int
-	work  time.Duration
 }
 
 const (
@@ -70,8 +69,9 @@
 	replayRetries = 2
 )
 
-// serve returns when the server answers a request that arrives now and whether it sheds it.
-func (s *modelServer) serve(now, work time.Duration) (time.Duration, bool) {
+// serve returns when the server answers a request that arrives now, how long it occupies a slot, and
+// whether the server sheds it.
+func (s *modelServer) serve(now, work time.Duration) (answer, took time.Duration, shed bool) {
 	kept := s.ends[:0]
 	for _, end := range s.ends {
 		if end > now {
@@ -80,17 +80,16 @@
 	}
 	if s.ends = kept; len(kept) >= replaySlots+replayQueue {
 		s.shed++
-		return now + 2*time.Millisecond, true
+		return now + 2*time.Millisecond, 0, true
 	}
 	slot := 0
 	if s.free[1] < s.free[0] {
 		slot = 1
 	}
-	took := time.Duration(float64(work) / s.speed * s.slow(now))
+	took = time.Duration(float64(work) / s.speed * s.slow(now))
 	s.free[slot] = max(now, s.free[slot]) + took
-	s.work += took
 	s.ends = append(s.ends, s.free[slot])
-	return s.free[slot], false
+	return s.free[slot], took, false
 }
 
 // replayOptions describe the deployment of a replay.
@@ -205,22 +204,32 @@
 }
 
 func (r *replay) attempt(u *client) {
-	c := &r.classes[u.class]
-	if u.engine == nil && !r.open(u) {
-		if u.attempts++; u.attempts <= replayRetries {
-			r.after(20*time.Millisecond, func() { r.attempt(u) })
-		} else {
-			r.end(u, refused)
-		}
-		return
+	switch {
+	case u.engine != nil:
+		r.send(u)
+	case r.open(u):
+		r.after(2*replayLatency, func() {
+			u.packet(r.now, Packet{})
+			r.send(u)
+		})
+	case u.attempts < replayRetries:
+		u.attempts++
+		r.after(20*time.Millisecond, func() { r.attempt(u) })
+	default:
+		r.end(u, refused)
 	}
+}
+
+// send sends a request on the open flow.
+func (r *replay) send(u *client) {
+	c := &r.classes[u.class]
 	u.left--
 	u.packet(r.now, Packet{Length: 100})
 	u.seq += 100
 	work := time.Duration(float64(c.work) * (0.5 + r.rng.Float64()))
-	answer, isShed := r.servers[u.cookie-1].serve(r.now+replayLatency, work)
-	if r.measured(r.now) && !isShed {
-		r.busy[u.class] += work
+	answer, took, isShed := r.servers[u.cookie-1].serve(r.now+replayLatency, work)
+	if r.measured(r.now) {
+		r.busy[u.class] += took
 	}
 	answer += replayLatency - r.now
 	if r.now+answer-u.startedAt > c.timeout {
@@ -274,7 +283,6 @@
 	if c.perFlow > 1 {
 		u.left = 1 + r.rng.IntN(2*c.perFlow-1)
 	}
-	u.packet(r.now, Packet{})
 	return true
 }
 
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/monsoonthread/monsoonthread/admission"
 )
 
 // ServerView is a snapshot of the engine's state for a backend server.
@@ -97,3 +99,50 @@
 }
 
 var flowStateNames = [...]string{"opening", "open", "closing"}
+
+// AdmissionView is a snapshot of admission control for the flows of a class to a service.
+type AdmissionView struct {
+	Service     string
+	Priority    int
+	Kind        RouteKind
+	Objective   time.Duration
+	Timeout     time.Duration
+	Limiting    bool          // the service is short of capacity, and limits apply
+	Evidence    float64       // share of the recent requests that were shed, late or overdue
+	Utilization float64       // at the last new flow, by classes that are at least as urgent
+	Limit       float64       // of that utilization
+	Share       float64       // share of the load, by this instance's flows
+	ServiceTime time.Duration // mean; 0 if unknown
+	Admitted    uint64        // new flows
+	Overloaded  uint64        // new flows refused because more urgent ones need the capacity
+	Unmet       uint64        // new flows refused because their deadline cannot be met
+}
+
+// Admissions returns the state of admission control, sorted by service and priority. It is empty
+// without prioritised routes.
+func (e *Engine) Admissions() []AdmissionView {
+	var out []AdmissionView
+	for _, svc := range e.services {
+		a := svc.admission
+		if a == nil {
+			continue
+		}
+		state := a.controller.State()
+		for i, c := range e.flowClasses {
+			if !a.used[i+1] {
+				continue
+			}
+			class, n := a.controller.Class(i+1), a.decisions[i+1]
+			out = append(out, AdmissionView{
+				Service: svc.name, Priority: c.priority, Kind: c.kind, Objective: c.objective, Timeout: c.timeout, Limiting: state.Limiting,
+				Evidence: state.Evidence, Utilization: class.Utilization, Limit: class.Limit, Share: class.Share, ServiceTime: class.ServiceTime,
+				Admitted: n[admission.FlowAdmitted], Overloaded: n[admission.FlowOverloaded], Unmet: n[admission.FlowDeadlineUnmet],
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b AdmissionView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(a.Objective, b.Objective), cmp.Compare(a.Timeout, b.Timeout))
+	})
+	return out
+}
--- a/internal/ctl/forwarders.go
+++ b/internal/ctl/forwarders.go
@@ -153,6 +153,7 @@
 			formatAge(s.RecordsAge), s.Watching, alive, len(s.Members), s.Flows, s.PendingRequests)
 	}
 	t.Flush()
+	r.writeAdmissions(w)
 	for _, s := range r.Instances {
 		if s.Error != "" {
 			fmt.Fprintln(w, s.Error)
@@ -160,6 +161,23 @@
 	}
 }
 
+// writeAdmissions shows why new flows were refused, if the configuration gives routes a priority.
+func (r forwardersResult) writeAdmissions(w io.Writer) {
+	if !slices.ContainsFunc(r.Instances, func(s forwarderStatus) bool { return len(s.Admissions) > 0 }) {
+		return
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "INSTANCE\tSERVICE\tPRIORITY\tKIND\tLIMITING\tEVIDENCE\tUSE\tLIMIT\tSHARE\tSERVICE TIME\tADMITTED\tOVERLOADED\tDEADLINE UNMET")
+	for _, s := range r.Instances {
+		for _, a := range s.Admissions {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%t\t%.1f%%\t%.0f%%\t%.0f%%\t%.0f%%\t%.0fms\t%d\t%d\t%d\n", s.Instance, a.Service, a.Priority, a.Kind, a.Limiting,
+				100*a.Evidence, 100*a.Utilization, 100*a.Limit, 100*a.Share, 1000*a.ServiceTime, a.Admitted, a.Overloaded, a.Unmet)
+		}
+	}
+	t.Flush()
+}
+
 func formatAge(seconds *float64) string {
 	if seconds == nil {
 		return "never"
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -43,7 +43,7 @@
 	return e
 }
 
-func (l *eventLog) logDecision(p forwarding.Packet, d forwarding.Decision, version uint64) {
+func (l *eventLog) logDecision(p forwarding.Packet, d forwarding.Decision, version uint64, refusal forwarding.FlowRefusal) {
 	if d.Verdict == forwarding.Forward && !p.Open {
 		return
 	}
@@ -62,6 +62,10 @@
 	if d.Target.ID != 0 {
 		e.Uint64(logging.Server, d.Target.ID).Stringer(logging.Address, d.Target.Address)
 	}
+	if d.Reason == forwarding.Overloaded || d.Reason == forwarding.DeadlineUnmet {
+		e.Str("service", refusal.Service).Str("best_server", refusal.Server).Int("priority", refusal.Priority).Float64("utilization", refusal.Utilization).
+			Float64("limit", refusal.Limit).Float64("server_utilization", refusal.ServerUtilization).Dur("wait", refusal.Wait).Dur("timeout", refusal.Timeout)
+	}
 	e.Bool("open", p.Open).Uint32("repeat", p.Acknowledgement).Msg(verdictEvents[d.Verdict])
 }
 
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -89,4 +92,33 @@
 // handleMetrics serves the metrics in the Prometheus text format.
 func (f *Forwarder) handleMetrics(w http.ResponseWriter, _ *http.Request) {
 	f.counters.set.WritePrometheus(w)
+	f.mu.Lock()
+	admissions := f.engine.Admissions()
+	f.mu.Unlock()
+	writeAdmissions(w, admissions)
+}
+
+// writeAdmissions writes the metrics of admission control. Classes come with the configuration.
+func writeAdmissions(w io.Writer, admissions []forwarding.AdmissionView) {
+	flows := make(map[string]uint64) // classes may differ only in their objective or timeout
+	for _, a := range admissions {
+		labels := fmt.Sprintf("service=%q,priority=\"%d\",kind=%q", a.Service, a.Priority, kindNames[a.Kind])
+		flows[labels+`,verdict="admitted",reason=""`] += a.Admitted
+		flows[labels+fmt.Sprintf(",verdict=\"refused\",reason=%q", forwarding.Overloaded)] += a.Overloaded
+		flows[labels+fmt.Sprintf(",verdict=\"refused\",reason=%q", forwarding.DeadlineUnmet)] += a.Unmet
+	}
+	for _, labels := range slices.Sorted(maps.Keys(flows)) {
+		metrics.WriteCounterUint64(w, "forwarder_new_flows_total{"+labels+"}", flows[labels])
+	}
+	limiting := make(map[string]bool)
+	for _, a := range admissions {
+		limiting[a.Service] = a.Limiting
+	}
+	for _, service := range slices.Sorted(maps.Keys(limiting)) {
+		value := uint64(0)
+		if limiting[service] {
+			value = 1
+		}
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("forwarder_service_limiting{service=%q}", service), value)
+	}
 }
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -42,6 +42,10 @@
 	f.mu.Lock()
 	decision, actions := f.engine.Packet(now, p, raw)
 	version, _ := f.engine.Version()
+	var refusal forwarding.FlowRefusal
+	if decision.Reason == forwarding.Overloaded || decision.Reason == forwarding.DeadlineUnmet {
+		refusal = f.engine.LastRefusal()
+	}
 	f.mu.Unlock()
 	f.counters.recordDecision(decision)
 	switch decision.Verdict {
@@ -50,7 +54,7 @@
 	case forwarding.ResetFlow:
 		f.sendReset(p.Flow, p.Acknowledgement)
 	}
-	f.events.logDecision(p, decision, version)
+	f.events.logDecision(p, decision, version, refusal)
 	if len(actions) > 0 {
 		f.perform(actions)
 	}
--- a/internal/forwarder/status.go
+++ b/internal/forwarder/status.go
@@ -45,6 +45,13 @@
 			Utilization: s.Utilization, Failures: s.Failures,
 		})
 	}
+	for _, a := range f.engine.Admissions() {
+		out.Admissions = append(out.Admissions, view.Admission{
+			Service: a.Service, Priority: a.Priority, Kind: kindNames[a.Kind], Objective: a.Objective.Seconds(), Timeout: a.Timeout.Seconds(),
+			Limiting: a.Limiting, Evidence: a.Evidence, Utilization: a.Utilization, Limit: a.Limit, Share: a.Share, ServiceTime: a.ServiceTime.Seconds(),
+			Admitted: a.Admitted, Overloaded: a.Overloaded, Unmet: a.Unmet,
+		})
+	}
 	return out
 }
 
--- a/internal/forwarder/view/view.go
+++ b/internal/forwarder/view/view.go
@@ -22,6 +22,8 @@
 	PendingRequests int      `json:"requests_under_way"`
 	Members         []Member `json:"members"`
 	Servers         []Server `json:"backend_servers"`
+	// Admissions is empty unless the configuration gives routes a priority.
+	Admissions []Admission `json:"admission,omitempty"`
 }
 
 // Member is another instance as seen by this one.
@@ -64,3 +66,21 @@
 	RequestTime float64 `json:"request_under_way_s"` // 0 if no request is pending
 	Idle        float64 `json:"idle_s"`
 }
+
+// Admission is the state of admission control for the flows of a class to a service.
+type Admission struct {
+	Service     string  `json:"service"`
+	Priority    int     `json:"priority"`
+	Kind        string  `json:"kind"`
+	Objective   float64 `json:"objective_s"`
+	Timeout     float64 `json:"timeout_s"`
+	Limiting    bool    `json:"limiting"`    // the service is short of capacity, and limits apply
+	Evidence    float64 `json:"evidence"`    // share of the recent requests that were shed, late or overdue
+	Utilization float64 `json:"utilization"` // at the last new flow, by classes that are at least as urgent
+	Limit       float64 `json:"limit"`       // of that utilization
+	Share       float64 `json:"share"`       // share of the load, by this instance's flows
+	ServiceTime float64 `json:"service_time_s"`
+	Admitted    uint64  `json:"admitted"`
+	Overloaded  uint64  `json:"refused_overloaded"`
+	Unmet       uint64  `json:"refused_deadline_unmet"`
+}
