--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -220,7 +220,9 @@
 			return d
 		}
 	}
-	c.addFlow(k, load.FlowRate)
+	if !load.Remote {
+		c.addFlow(k, load.FlowRate)
+	}
 	return d
 }
 
@@ -282,7 +284,7 @@
 	return guaranteedShare * guaranteeMargin / float64(max(c.levels-1, 1))
 }
 
-// CountRequest counts a request of the class. interval is the time since the flow's last request, or
+// CountRequest counts a request of the class at a server of the own failure domain. interval is the time since the flow's last request, or
 // since it was opened.
 func (c *FlowController) CountRequest(index int, interval time.Duration) {
 	k := &c.classes[index]
--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -167,7 +167,7 @@
 
 // countClassRequest counts a request of an open flow, before the flow's state records it.
 func (e *Engine) countClassRequest(now time.Duration, f *flow) {
-	if a := f.server.service.admission; a != nil {
+	if a := f.server.service.admission; a != nil && f.server.local {
 		a.controller.CountRequest(int(f.class), now-duration(f.sentAt))
 	}
 }
--- a/internal/ctl/forwarders_test.go
+++ b/internal/ctl/forwarders_test.go
@@ -56,6 +56,7 @@
 	}
 	return startForwarders(t,
 		&view.Status{Instance: "front-1", Domain: "laval", State: "ready", Version: 7, Revision: 90, Watching: true, Servers: server("unreachable", 2),
+			Admissions: []view.Admission{{Service: "orders", Priority: 1, Kind: "download", Limiting: true, Utilization: 1.07, Limit: 0.88, Overloaded: 4321}},
 			Members: []view.Member{
 				{Instance: "front-2", Domain: "levis", Address: "127.0.7.2:7720", Alive: true},
 				{Instance: "front-3", Domain: "levis", Address: "127.0.7.3:7720"},
@@ -69,7 +70,7 @@
 	first := twoForwarders(t)
 	c := newCLITest(t)
 	c.run(ExitOK, "front-2", "forwarder", "status", "--status-addresses", first)
-	for _, want := range []string{"laval", "ready", "7", "90", "true", "1/2", "starting", "never"} {
+	for _, want := range []string{"laval", "ready", "7", "90", "true", "1/2", "starting", "never", "download", "107%", "88%", "4321"} {
 		if !strings.Contains(c.out.String(), want) {
 			t.Errorf("%q is missing in\n%s", want, &c.out)
 		}
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -63,7 +63,7 @@
 		e.Uint64(logging.Server, d.Target.ID).Stringer(logging.Address, d.Target.Address)
 	}
 	if d.Reason == forwarding.Overloaded || d.Reason == forwarding.DeadlineUnmet {
-		e.Str("service", refusal.Service).Str("best_server", refusal.Server).Int("priority", refusal.Priority).Float64("utilization", refusal.Utilization).
+		e.Str(logging.Service, refusal.Service).Str("best_server", refusal.Server).Int("priority", refusal.Priority).Float64("utilization", refusal.Utilization).
 			Float64("limit", refusal.Limit).Float64("server_utilization", refusal.ServerUtilization).Dur("wait", refusal.Wait).Dur("timeout", refusal.Timeout)
 	}
 	e.Bool("open", p.Open).Uint32("repeat", p.Acknowledgement).Msg(verdictEvents[d.Verdict])
--- a/internal/forwarder/status_test.go
+++ b/internal/forwarder/status_test.go
@@ -1,12 +1,19 @@
 package forwarder
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonthread/monsoonthread/forwarding"
 	"github.com/monsoonthread/monsoonthread/internal/forwarder/view"
+	"github.com/monsoonthread/monsoonthread/platform/wire"
 )
 
 // get requests a JSON body from an instance's readiness address and returns the status code.
@@ -69,3 +76,36 @@
 		t.Errorf("status code %d for a path that names no flow", code)
 	}
 }
+
+// Guards against refusals by admission control that operators cannot trace to the class, its load and
+// its limit.
+func TestAdmissionIsVisible(t *testing.T) {
+	d := newDeployment(t)
+	d.store.Put(wire.ConfigurationKey, []byte(`{"version":2,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8443/","kind":"idempotent","service":"orders","priority":1,"targetLatencyMs":500,"timeoutMs":5000}],"services":[{"name":"orders","healthPath":"/health"}]}`))
+	d.startServer("i-1", "orders", "a", 1)
+	i := d.startInstance("front-1", "a", 1)
+	d.eventually("ready", testTimeout, func() bool { return d.ready(i) })
+	d.openFlow(i)
+	var s view.Status
+	i.get(t, view.StatusPath, &s)
+	if len(s.Admissions) != 1 || s.Admissions[0].Service != "orders" || s.Admissions[0].Priority != 1 || s.Admissions[0].Admitted == 0 || s.Admissions[0].Timeout != 5 {
+		t.Errorf("admission %+v", s.Admissions)
+	}
+	var out bytes.Buffer
+	writeAdmissions(&out, []forwarding.AdmissionView{{Service: "orders", Priority: 1, Kind: forwarding.Download, Overloaded: 7, Limiting: true}})
+	for _, want := range []string{
+		`forwarder_new_flows_total{service="orders",priority="1",kind="download",verdict="refused",reason="overloaded"} 7`, `forwarder_service_limiting{service="orders"} 1`,
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("metric %s is missing in\n%s", want, &out)
+		}
+	}
+	out.Reset()
+	newEventLog(zerolog.New(&out)).logDecision(forwarding.Packet{Open: true}, forwarding.Decision{Verdict: forwarding.ResetFlow, Reason: forwarding.Overloaded}, 2,
+		forwarding.FlowRefusal{Service: "orders", Priority: 1, Utilization: 1.25, Limit: 0.875, Wait: 150 * time.Millisecond})
+	for _, want := range []string{`"reason":"overloaded"`, `"service":"orders"`, `"priority":1`, `"utilization":1.25`, `"limit":0.875`, `"wait":150`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s is missing in %s", want, &out)
+		}
+	}
+}
