Limit new flows also without reports of peers

An instance that cannot reach the others took all slots for its own, so its estimate was too low by the number of instances and it refused nothing. Its limits now follow the share of shed requests without a lower bound.

--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -48,6 +48,9 @@
 	// shed ones. The lower bounds keep a wrong estimate from refusing flows at half of the capacity.
 	minFactor     = 0.6
 	minFactorLate = 0.8
+	// minFactorAlone applies to an instance that knows only its own part of the load. Its limits follow
+	// from the share of shed requests alone.
+	minFactorAlone = 0.01
 	// From saturatedLoss on, servers are saturated and the share of lost requests shows their true
 	// capacity: what is offered less what is lost. factorGain is the weight of one interval.
 	saturatedLoss = 0.1
@@ -159,6 +162,7 @@
 	nextUpdate time.Duration
 	updatedAt  time.Duration
 	slots      float64 // this instance's part of the slots of the failure domain
+	alone      bool    // no other instance reports its load
 	busy       float64 // slots that the flows of this instance need
 	offered    float64 // average utilization over the time that the evidence covers
 	answers    float64 // decayed number of outcomes
@@ -251,8 +255,9 @@
 func (k *flowClass) serviceTime() float64 { return k.quantile * classMeanRatio / float64(time.Second) }
 
 // SetSlots sets this instance's part of the slots of the failure domain: its part of the flows is a
-// random sample, so it may use the same part of the slots.
-func (c *FlowController) SetSlots(slots float64) { c.slots = slots }
+// random sample, so it may use the same part of the slots. alone tells that no other instance reports
+// its load, so that the part may be smaller.
+func (c *FlowController) SetSlots(slots float64, alone bool) { c.slots, c.alone = slots, alone }
 
 // limit returns the utilization by classes that are at least as urgent up to which the class is
 // admitted.
@@ -264,7 +269,7 @@
 	if !k.most {
 		limit = min(limit, randomArrivalLimit)
 	}
-	if k.most {
+	if k.most && !c.alone {
 		return limit * max(c.factor, 1)
 	}
 	return limit * c.factor
@@ -275,6 +280,9 @@
 	if k.most {
 		return 0
 	}
+	if c.alone {
+		return c.levelShare() * c.factor
+	}
 	return c.levelShare() * max(c.factor, 1)
 }
 
@@ -371,9 +379,13 @@
 		c.limiting, c.factor, c.loweredAt = true, 1, now
 		c.hold = limitHold + time.Duration(c.random()*float64(limitHold))
 		c.switches++
-	case overloaded && c.shed >= saturatedLoss*c.answers && c.slots > 0:
+	case overloaded && c.slots > 0 && (c.shed >= saturatedLoss*c.answers || c.alone && c.shed >= tolerableLoss*c.answers):
 		capacity := c.offered * (1 - c.shed/c.answers)
-		c.factor = min(max(c.factor+(capacity-c.factor)*factorGain, minFactor), farUtilization)
+		lowest := minFactor
+		if c.alone {
+			lowest = minFactorAlone
+		}
+		c.factor = min(max(c.factor+(capacity-c.factor)*factorGain, lowest), farUtilization)
 	case overloaded && !c.beyondLimit() && now-c.loweredAt >= time.Second:
 		lowest := minFactorLate
 		if c.shed >= tolerableLoss*c.answers {
--- a/admission/newflows_test.go
+++ b/admission/newflows_test.go
@@ -15,7 +15,7 @@
 	for i, class := range classes {
 		c.SetClass(i+1, class)
 	}
-	c.SetSlots(4)
+	c.SetSlots(4, false)
 	now, server := time.Duration(0), uint32(0)
 	for ; now < 10*time.Second; now += 10 * time.Millisecond {
 		for i := range classes {
--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"strings"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/admission"
@@ -133,10 +134,14 @@
 	if len(e.flowClasses) == 0 {
 		return
 	}
+	alone := true
+	for source := range e.peerLoads {
+		alone = alone && strings.HasPrefix(source, domainSourcePrefix)
+	}
 	for _, svc := range e.services {
 		if a := svc.admission; a != nil && now >= a.nextSlots {
 			a.nextSlots = now + rateInterval
-			a.controller.SetSlots(svc.ownSlots(a))
+			a.controller.SetSlots(svc.ownSlots(a), alone)
 		}
 		if svc.admission != nil {
 			svc.admission.controller.Update(now)
--- a/forwarding/admit_test.go
+++ b/forwarding/admit_test.go
@@ -46,11 +46,11 @@
 
 var replaySpeeds = map[string][]float64{"equal": {1}, "uneven": {0.7, 0.7, 1.7}}
 
-// eachDeployment runs a scenario over equal and uneven servers and short and long intervals between
-// load reports.
+// eachDeployment runs a scenario over equal and uneven servers, and short and long intervals between
+// load reports, the longest of which stands for instances that cannot reach each other.
 func eachDeployment(t *testing.T, sc floodScenario, check func(t *testing.T, o replayOptions, r *replay)) {
 	for _, speeds := range []string{"equal", "uneven"} {
-		for _, exchange := range []time.Duration{250 * time.Millisecond, 2 * time.Second} {
+		for _, exchange := range []time.Duration{250 * time.Millisecond, 2 * time.Second, time.Hour} {
 			t.Run(fmt.Sprintf("%s, %s speeds, loads every %v", sc.name, speeds, exchange), func(t *testing.T) {
 				o := replayOptions{speeds: replaySpeeds[speeds], exchange: exchange, seed: 1}
 				r := replayFlood(sc, o)
