Keep admission control across changes of the configuration

Classes of earlier versions kept their index and their priority, so that after 15 different classes new ones were never refused. Indices that the configuration in force does not use are assigned again.

--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -186,7 +186,19 @@
 
 // SetClass adds or replaces the class with an index from 1 to MaxFlowClasses-1.
 func (c *FlowController) SetClass(index int, class FlowClass) {
-	c.classes[index].FlowClass, c.classes[index].known = class, true
+	k := &c.classes[index]
+	if k.FlowClass != class {
+		*k = flowClass{FlowClass: class}
+	}
+	k.known = true
+	c.refresh()
+}
+
+// ClearClasses removes all classes. What was learned of a class remains until its index gets another.
+func (c *FlowController) ClearClasses() {
+	for i := range c.classes {
+		c.classes[i].known = false
+	}
 	c.refresh()
 }
 
--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -37,22 +37,34 @@
 	return flowClass{prioritised: r.Prioritised, priority: r.Priority, objective: r.Objective, timeout: r.Timeout, kind: r.Kind}
 }
 
-// classIndex returns the index of the class, which stays valid, or 0 for flows that are never
-// refused: those without a priority, and those of further classes when all indices are taken.
-func (e *Engine) classIndex(c flowClass) uint8 {
+// flowClasses assigns indices to the classes of the prioritised routes.
+type flowClasses struct {
+	classes [admission.MaxFlowClasses]flowClass
+	inForce [admission.MaxFlowClasses]bool // used by the configuration in force
+}
+
+// index returns the index of a class of the configuration that is being applied and whether it had
+// another class before. It is 0 for flows that are never refused: those without a priority, and those
+// of further classes when all indices are taken.
+func (t *flowClasses) index(c flowClass) (index uint8, replaced bool) {
 	if !c.prioritised {
-		return 0
+		return 0, false
 	}
-	for i, known := range e.flowClasses {
-		if known == c {
-			return uint8(i + 1)
+	free := 0
+	for i := len(t.classes) - 1; i > 0; i-- {
+		if t.classes[i] == c {
+			t.inForce[i] = true
+			return uint8(i), false
+		}
+		// Unused indices first, then those of earlier configurations.
+		if !t.inForce[i] && (free == 0 || !t.classes[i].prioritised || t.classes[free].prioritised) {
+			free = i
 		}
 	}
-	if len(e.flowClasses) >= admission.MaxFlowClasses-1 {
-		return 0
+	if free > 0 {
+		t.classes[free], t.inForce[free] = c, true
 	}
-	e.flowClasses = append(e.flowClasses, c)
-	return uint8(len(e.flowClasses))
+	return uint8(free), true
 }
 
 // serviceAdmission is the admission control of a service with prioritised routes.
@@ -60,26 +72,44 @@
 	controller *admission.FlowController
 	usualSize  [admission.MaxFlowClasses]float64 // of answers, in bytes
 	decisions  [admission.MaxFlowClasses][admission.NumFlowReasons]uint64
-	used       [admission.MaxFlowClasses]bool
+	used       [admission.MaxFlowClasses]bool // by the configuration in force
 	nextSlots  time.Duration
 	// ownRate and allRate are averages of the requests per second of this instance and of all.
 	ownRate, allRate float64
 }
 
+// clearClasses forgets which classes the last configuration used.
+func (e *Engine) clearClasses() {
+	e.flowClasses.inForce = [admission.MaxFlowClasses]bool{}
+	for _, svc := range e.services {
+		if a := svc.admission; a != nil {
+			a.used = [admission.MaxFlowClasses]bool{}
+			a.controller.ClearClasses()
+		}
+	}
+}
+
 // enableAdmission enables admission control for the services of a prioritised route.
 func (e *Engine) enableAdmission(r *route) {
-	r.classIndex = e.classIndex(r.class)
-	if r.classIndex == 0 {
+	index, replaced := e.flowClasses.index(r.class)
+	if r.classIndex = index; index == 0 {
 		return
 	}
+	if replaced {
+		for _, svc := range e.services {
+			if a := svc.admission; a != nil {
+				a.usualSize[index], a.decisions[index] = 0, [admission.NumFlowReasons]uint64{}
+			}
+		}
+	}
 	for _, w := range r.services {
 		a := w.service.admission
 		if a == nil {
 			a = &serviceAdmission{controller: admission.NewFlowController(e.rng.Uint64())}
 			w.service.admission = a
 		}
-		a.used[r.classIndex] = true
-		a.controller.SetClass(int(r.classIndex), admission.FlowClass{Priority: r.class.priority, Objective: r.class.objective, Timeout: r.class.timeout})
+		a.used[index] = true
+		a.controller.SetClass(int(index), admission.FlowClass{Priority: r.class.priority, Objective: r.class.objective, Timeout: r.class.timeout})
 	}
 }
 
@@ -131,9 +161,6 @@
 
 // updateAdmission updates the limits of all services.
 func (e *Engine) updateAdmission(now time.Duration) {
-	if len(e.flowClasses) == 0 {
-		return
-	}
 	alone := true
 	for source := range e.peerLoads {
 		alone = alone && strings.HasPrefix(source, domainSourcePrefix)
--- a/forwarding/admit_test.go
+++ b/forwarding/admit_test.go
@@ -171,6 +171,22 @@
 	}
 }
 
+// Guards against admission control that ends after changes of the configuration because classes of
+// earlier versions hold all indices, and against priorities of earlier versions that still count.
+func TestClassesFollowTheConfiguration(t *testing.T) {
+	e := replayFlood(floodScenario{"", 1, 1, 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: time.Second}).engines[0]
+	for version := uint64(2); version < 100; version++ {
+		route := func(port uint16, priority int) Route {
+			return Route{Address: 10, Port: port, Services: []ServiceWeight{{"orders", 1}}, Prioritised: true, Priority: priority, Objective: time.Duration(version)}
+		}
+		e.Configure(0, &Configuration{Version: version, Routes: []Route{route(1, int(version)), route(2, int(version)+1), route(3, int(version))}})
+		first, second, third := e.routes[routeKey{10, 1}].classIndex, e.routes[routeKey{10, 2}].classIndex, e.routes[routeKey{10, 3}].classIndex
+		if first == 0 || second == 0 || first == second || first != third || len(e.Admissions()) != 2 || e.Admissions()[0].Priority != int(version) {
+			t.Fatalf("version %d: indices %d, %d, %d, classes %+v", version, first, second, third, e.Admissions())
+		}
+	}
+}
+
 // BenchmarkPrioritised measures decisions with admission control. The targets are 1 µs for a new
 // flow and 100 ns more for a packet of an open flow, without allocations.
 func BenchmarkPrioritised(b *testing.B) {
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -86,6 +86,7 @@
 	if e.configured && c.Version <= e.version {
 		return c.Version == e.version
 	}
+	e.clearClasses()
 	routes := make(map[routeKey]*route, len(c.Routes))
 	for i := range c.Routes {
 		k := routeKey{c.Routes[i].Address, c.Routes[i].Port}
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -78,7 +78,7 @@
 
 	evacuated   map[string]struct{} // failure domains
 	peerLoads   map[string]peerLoads
-	flowClasses []flowClass // of the prioritised routes; the class with index i is at position i-1
+	flowClasses flowClasses
 	lastRefusal FlowRefusal
 	handshake   float64 // moving average of handshake times, in nanoseconds
 	nextRates   time.Duration
--- a/forwarding/view.go
+++ b/forwarding/view.go
@@ -128,11 +128,11 @@
 			continue
 		}
 		state := a.controller.State()
-		for i, c := range e.flowClasses {
-			if !a.used[i+1] {
+		for i, c := range e.flowClasses.classes {
+			if !a.used[i] {
 				continue
 			}
-			class, n := a.controller.Class(i+1), a.decisions[i+1]
+			class, n := a.controller.Class(i), a.decisions[i]
 			out = append(out, AdmissionView{
 				Service: svc.name, Priority: c.priority, Kind: c.kind, Objective: c.objective, Timeout: c.timeout, Limiting: state.Limiting,
 				Evidence: state.Evidence, Utilization: class.Utilization, Limit: class.Limit, Share: class.Share, ServiceTime: class.ServiceTime,
