Recognise overload in classes with short answers

Where all answers fit in one packet, the size of an answer does not tell whether the server shed it: shed answers counted as short service times, and nothing was refused. Answers that take 3.5 usual service times now count as evidence, and those that take less than a quarter are ignored.

--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -60,10 +60,17 @@
 	idleRatio = 2.0
 	// perFlowGain is the weight of an interval in the requests a flow: flows live for many seconds.
 	perFlowGain = 0.02
+	// An answer that may have been shed does not count as a service time if it took less than
+	// 1/shedTimeRatio of the usual one. Above fullQueueTimes usual service times, it shows that the
+	// queue of eight is nearly full; the longest wait is four service times.
+	shedTimeRatio  = 4.0
+	fullQueueTimes = 3.5
 	// intervalGain is the weight of a sample in the mean time between the requests of a flow, and
 	// maxFlowRate bounds the requests per second that it yields.
 	intervalGain = 1.0 / 32
-	maxFlowRate  = 10.0
+	// oneRequestShare is the number of new flows per request from which flows count as having one.
+	oneRequestShare = 0.7
+	maxFlowRate     = 10.0
 	// limitHold is the time without evidence and without need for refusals after which the limits
 	// are lifted. Each instance adds a random part of the same length.
 	limitHold = 2 * time.Second
@@ -115,9 +122,10 @@
 
 // The outcomes.
 const (
-	FlowAnswered FlowOutcome = iota // within the elapsed time, which may exceed the objective
-	FlowShed                        // refused by the server
-	FlowOverdue                     // no answer for too long
+	FlowAnswered      FlowOutcome = iota // within the elapsed time, which may exceed the objective
+	FlowAnsweredShort                    // likewise, but the size cannot tell whether the server shed it
+	FlowShed                             // refused by the server
+	FlowOverdue                          // no answer for too long
 )
 
 // flowClass is a class as a FlowController knows it.
@@ -170,6 +178,7 @@
 	badServer  uint32  // server of the last bad outcome
 	limiting   bool
 	factor     float64
+	onset      float64       // factor when the limits began to apply
 	needed     bool          // a flow came close to a limit since the last update
 	neededAt   time.Duration // last evidence, or last flow that came close to a limit
 	loweredAt  time.Duration
@@ -266,6 +275,12 @@
 // serviceTime returns the mean service time in seconds, 0 if it is not known.
 func (k *flowClass) serviceTime() float64 { return k.quantile * classMeanRatio / float64(time.Second) }
 
+// StaysOpen reports whether flows of the class usually carry several requests.
+func (c *FlowController) StaysOpen(index int) bool {
+	k := &c.classes[index]
+	return k.requestRate == 0 || k.flowRate < oneRequestShare*k.requestRate
+}
+
 // SetSlots sets this instance's part of the slots of the failure domain: its part of the flows is a
 // random sample, so it may use the same part of the slots. alone tells that no other instance reports
 // its load, so that the part may be smaller.
@@ -320,9 +335,17 @@
 func (c *FlowController) Observe(index int, server uint32, elapsed time.Duration, outcome FlowOutcome) {
 	k := &c.classes[index]
 	c.answers++
-	if outcome == FlowAnswered {
+	if outcome == FlowAnswered || outcome == FlowAnsweredShort {
+		usual := k.quantile * classMeanRatio
+		inTime := k.Objective == 0 || elapsed <= k.Objective
+		if outcome == FlowAnsweredShort {
+			if float64(elapsed)*shedTimeRatio < usual {
+				return // perhaps shed
+			}
+			inTime = inTime && (usual == 0 || float64(elapsed) <= fullQueueTimes*usual)
+		}
 		k.addSample(float64(elapsed), c.limiting)
-		if k.Objective == 0 || elapsed <= k.Objective {
+		if inTime {
 			return
 		}
 	}
@@ -389,6 +412,11 @@
 	switch {
 	case overloaded && !c.limiting:
 		c.limiting, c.factor, c.loweredAt = true, 1, now
+		if c.alone {
+			// The evidence appears when the load has just exceeded the capacity.
+			c.factor = min(c.busy/max(c.slots, 1), 1)
+		}
+		c.onset = c.factor
 		c.hold = limitHold + time.Duration(c.random()*float64(limitHold))
 		c.switches++
 	case overloaded && c.slots > 0 && (c.shed >= saturatedLoss*c.answers || c.alone && c.shed >= tolerableLoss*c.answers):
@@ -399,13 +427,13 @@
 		}
 		c.factor = min(max(c.factor+(capacity-c.factor)*factorGain, lowest), farUtilization)
 	case overloaded && !c.beyondLimit() && now-c.loweredAt >= time.Second:
-		lowest := minFactorLate
+		lowest := minFactorLate * c.onset
 		if c.shed >= tolerableLoss*c.answers {
-			lowest = minFactor
+			lowest = minFactor * c.onset
 		}
 		c.factor, c.loweredAt = min(c.factor, max(c.factor*factorDecrease, lowest)), now
 	case !overloaded && c.needed:
-		c.factor = min(c.factor+factorIncrease, farUtilization)
+		c.factor = min(c.factor*(1+factorIncrease), farUtilization)
 	}
 	if overloaded {
 		c.neededAt = now
--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -211,7 +211,7 @@
 	if a == nil {
 		return
 	}
-	if bytes < immediateAckBytes {
+	if bytes < immediateAckBytes && a.controller.StaysOpen(int(f.class)) {
 		elapsed = max(elapsed-ackDelay, 0) // the acknowledgement was probably delayed
 	}
 	size := &a.usualSize[f.class]
@@ -227,7 +227,11 @@
 	}
 	*size += (x - *size) * answerSizeGain
 	elapsed = max(elapsed-time.Duration(e.handshake), elapsed/2) // without the time on the network
-	a.controller.Observe(int(f.class), f.server.cookie, elapsed, admission.FlowAnswered)
+	outcome := admission.FlowAnswered
+	if *size < immediateAckBytes {
+		outcome = admission.FlowAnsweredShort
+	}
+	a.controller.Observe(int(f.class), f.server.cookie, elapsed, outcome)
 }
 
 // observeOverdue learns from a request that has made no progress for too long.
--- a/forwarding/admit_test.go
+++ b/forwarding/admit_test.go
@@ -14,6 +14,7 @@
 type floodScenario struct {
 	name           string
 	normal, urgent float64 // factor on the load of the class during the flood
+	answerBytes    uint32  // 2000 if not set
 	slowdown       float64 // factor on the work of a third of the servers during the flood; above 4, of one server
 }
 
@@ -35,11 +36,14 @@
 		return 1
 	}
 	o.engines, o.servers = 6, 12
+	if sc.answerBytes == 0 {
+		sc.answerBytes = 2000
+	}
 	r := newReplay(o,
 		replayClass{name: "urgent", priority: 0, port: 1, work: 61 * time.Millisecond, objective: 600 * time.Millisecond, timeout: 6 * time.Second,
-			kind: NonIdempotent, perFlow: 1, rate: 0.15 * 24 / 0.061, factor: factor(sc.urgent)},
+			kind: NonIdempotent, perFlow: 1, answerBytes: sc.answerBytes, rate: 0.15 * 24 / 0.061, factor: factor(sc.urgent)},
 		replayClass{name: "normal", priority: 1, port: 2, work: 47 * time.Millisecond, objective: 500 * time.Millisecond, timeout: 5 * time.Second,
-			perFlow: 10, pause: 400 * time.Millisecond, rate: 0.35 * 24 / 0.047, factor: factor(sc.normal)})
+			perFlow: 10, answerBytes: sc.answerBytes, pause: 400 * time.Millisecond, rate: 0.35 * 24 / 0.047, factor: factor(sc.normal)})
 	r.measured = inFlood
 	return r
 }
@@ -72,7 +76,9 @@
 // Guards against refusals while the servers have capacity, also with a server that is ten times
 // slower and sheds.
 func TestNothingIsRefusedWithoutOverload(t *testing.T) {
-	for _, sc := range []floodScenario{{"half of the capacity", 1, 1, 1}, {"three quarters of the capacity", 1.5, 1.5, 1}, {"one slow server", 1, 1, 10}} {
+	for _, sc := range []floodScenario{{name: "half of the capacity", normal: 1, urgent: 1, slowdown: 1}, {name: "three quarters of the capacity", normal: 1.5, urgent: 1.5, slowdown: 1}, {name: "one slow server", normal: 1, urgent: 1, slowdown: 10},
+		{name: "short answers", normal: 1, urgent: 1, slowdown: 1, answerBytes: 400},
+	} {
 		eachDeployment(t, sc, func(t *testing.T, o replayOptions, r *replay) {
 			if n := r.counts[urgent][refused] + r.counts[normal][refused]; n > 0 {
 				t.Errorf("%d requests refused", n)
@@ -84,7 +90,7 @@
 // Guards against long flows of the normal class that leave the urgent class no capacity, against
 // refusing more of the normal class than that takes, and against limits that come and go.
 func TestUrgentClassSurvivesFloodOfNormalClass(t *testing.T) {
-	eachDeployment(t, floodScenario{"normal class x5", 5, 1, 1}, func(t *testing.T, o replayOptions, r *replay) {
+	eachDeployment(t, floodScenario{name: "normal class x5", normal: 5, urgent: 1, slowdown: 1}, func(t *testing.T, o replayOptions, r *replay) {
 		if got := r.share(urgent, inTime); got < 0.97 {
 			t.Errorf("%.3f of the urgent requests in time, want 0.97", got)
 		}
@@ -100,24 +106,29 @@
 	})
 }
 
-// Guards against an urgent class that loses more than the normal one when servers are slow, or
-// more than without priorities.
-func TestUrgentClassLosesLessWhenServersAreSlow(t *testing.T) {
-	eachDeployment(t, floodScenario{"all classes x4, a third of the servers slow", 4, 4, 4}, func(t *testing.T, o replayOptions, r *replay) {
-		o.unprioritised = true
-		before := replayFlood(floodScenario{"", 4, 4, 4}, o)
-		before.run(floodTo + 7*time.Second)
-		t.Logf("without priorities\n%s", before.table())
-		if got := r.share(urgent, inTime); got < r.share(normal, inTime) || got < before.share(urgent, inTime) {
-			t.Errorf("%.3f of the urgent requests in time, %.3f of the normal ones, %.3f of the urgent ones without priorities",
-				got, r.share(normal, inTime), before.share(urgent, inTime))
-		}
-	})
+// Guards against an urgent class that loses more than the normal one, or more than without priorities,
+// when servers are slow or when the size of answers does not tell which were shed.
+func TestUrgentClassLosesLess(t *testing.T) {
+	for _, sc := range []floodScenario{
+		{name: "all classes x4, a third of the servers slow", normal: 4, urgent: 4, slowdown: 4},
+		{name: "normal class x5, short answers", normal: 5, urgent: 1, slowdown: 1, answerBytes: 400},
+	} {
+		eachDeployment(t, sc, func(t *testing.T, o replayOptions, r *replay) {
+			o.unprioritised = true
+			before := replayFlood(sc, o)
+			before.run(floodTo + 7*time.Second)
+			t.Logf("without priorities\n%s", before.table())
+			if got := r.share(urgent, inTime); got < r.share(normal, inTime) || got < before.share(urgent, inTime) {
+				t.Errorf("%.3f of the urgent requests in time, %.3f of the normal ones, %.3f of the urgent ones without priorities",
+					got, r.share(normal, inTime), before.share(urgent, inTime))
+			}
+		})
+	}
 }
 
 // Guards against a flood of the most urgent class that takes the capacity guaranteed to the others.
 func TestNormalClassKeepsItsGuaranteedShare(t *testing.T) {
-	eachDeployment(t, floodScenario{"urgent class x10", 1, 10, 1}, func(t *testing.T, o replayOptions, r *replay) {
+	eachDeployment(t, floodScenario{name: "urgent class x10", normal: 1, urgent: 10, slowdown: 1}, func(t *testing.T, o replayOptions, r *replay) {
 		if got := r.slotShare(normal); got < 0.1 {
 			t.Errorf("the normal class uses %.3f of the capacity, want 0.1", got)
 		}
@@ -127,7 +138,7 @@
 // Guards against refusals by an instance that knows too little: in its first second, and before
 // its records are complete.
 func TestNoRefusalRightAfterStart(t *testing.T) {
-	r := replayFlood(floodScenario{"", 5, 1, 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: 250 * time.Millisecond, seed: 1})
+	r := replayFlood(floodScenario{normal: 5, urgent: 1, slowdown: 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: 250 * time.Millisecond, seed: 1})
 	r.run(floodTo)
 	e := r.engines[0]
 	route := e.routes[routeKey{10, 2}]
@@ -158,8 +169,8 @@
 	for _, c := range []struct {
 		usual uint32
 		want  bool
-	}{{answerBytes, true}, {2 * shedBytes, false}} {
-		e := replayFlood(floodScenario{"", 1, 1, 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: time.Second}).engines[0]
+	}{{2000, true}, {2 * shedBytes, false}} {
+		e := replayFlood(floodScenario{normal: 1, urgent: 1, slowdown: 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: time.Second}).engines[0]
 		f := &flow{server: e.servers["0"], class: 1}
 		for range 100 {
 			e.observeAnswer(0, f, 70*time.Millisecond, c.usual)
@@ -174,7 +185,7 @@
 // Guards against admission control that ends after changes of the configuration because classes of
 // earlier versions hold all indices, and against priorities of earlier versions that still count.
 func TestClassesFollowTheConfiguration(t *testing.T) {
-	e := replayFlood(floodScenario{"", 1, 1, 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: time.Second}).engines[0]
+	e := replayFlood(floodScenario{normal: 1, urgent: 1, slowdown: 1}, replayOptions{speeds: replaySpeeds["equal"], exchange: time.Second}).engines[0]
 	for version := uint64(2); version < 100; version++ {
 		route := func(port uint16, priority int) Route {
 			return Route{Address: 10, Port: port, Services: []ServiceWeight{{"orders", 1}}, Prioritised: true, Priority: priority, Objective: time.Duration(version)}
--- a/forwarding/replay_test.go
+++ b/forwarding/replay_test.go
@@ -17,7 +17,8 @@
 	work               time.Duration // mean, on a server of speed 1
 	objective, timeout time.Duration
 	kind               RouteKind
-	perFlow            int           // requests a flow
+	perFlow            int // requests a flow
+	answerBytes        uint32
 	pause              time.Duration // mean, between the requests of a flow
 	rate               float64       // requests per second without a flood
 	factor             func(now time.Duration) float64
@@ -65,7 +66,6 @@
 	replayQueue   = 8
 	replayLatency = 3 * time.Millisecond // one way
 	shedBytes     = 180
-	answerBytes   = 2000
 	replayRetries = 2
 )
 
@@ -236,15 +236,16 @@
 		r.after(u.startedAt+c.timeout-r.now, func() { r.closeFlow(u); r.end(u, lost) })
 		return
 	}
-	size, ackDelay := uint32(answerBytes), time.Duration(0)
+	size, delay := c.answerBytes, time.Duration(0)
 	if isShed {
-		if size = shedBytes; c.perFlow > 1 {
-			ackDelay = 40 * time.Millisecond // the flow stays open
-		}
+		size = shedBytes
+	}
+	if size < immediateAckBytes && c.perFlow > 1 {
+		delay = ackDelay // the flow stays open
 	}
 	r.after(answer, func() {
 		engine, key := u.engine, u.key
-		r.after(ackDelay, func() {
+		r.after(delay, func() {
 			if u.engine == engine && u.key == key {
 				u.ack += size
 				u.packet(r.now, Packet{})
