--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -25,9 +25,6 @@
 	// new long flows is too high while most flows have one request. Without it, a class got up to 13%
 	// less than its share.
 	guaranteeMargin = 1.5
-	// reserveGrowth is the headroom by which a level may grow within its guaranteed share before
-	// more urgent levels have to leave it room.
-	reserveGrowth = 1.25
 	// farUtilization is the estimated utilization above which flows are refused although nothing
 	// shows an overload. The estimate is twice too high while servers count as cold.
 	farUtilization = 2.0
@@ -147,7 +144,6 @@
 	most        bool    // no class is more urgent
 	cumulative  float64 // share of the load of the classes that are at least as urgent
 	share       float64 // share of the load
-	reserved    float64 // guaranteed share that less urgent levels use
 	costRatio   float64 // service time over the mean of the classes of the same priority
 	utilization float64 // last utilization by classes that are at least as urgent
 }
@@ -155,7 +151,7 @@
 // FlowController decides which new flows of one service are admitted when capacity is short. The
 // limits follow from the priorities: the load of all classes may reach the utilization at which
 // servers shed a tolerable share because of random arrivals, and the load of the most urgent level
-// may reach the capacity less what is guaranteed to the others. Flows are refused only with evidence
+// may reach the capacity. A class below its guaranteed share is admitted. Flows are refused only with evidence
 // of overload, in the manner of the queueing time of DAGOR (Zhou et al., SoCC 2018), or if the
 // estimate is far beyond capacity. The limits are corrected by additive increase and multiplicative
 // decrease as the credits of Breakwater (Cho et al., OSDI 2020). Decisions take no locks and do not
@@ -292,9 +288,10 @@
 	if !c.limiting {
 		return farUtilization
 	}
-	limit := 1 - k.reserved
-	if !k.most {
-		limit = min(limit, randomArrivalLimit)
+	limit := randomArrivalLimit
+	if k.most {
+		// A lower limit lost more of the most urgent class than its repeated requests save.
+		limit = 1
 	}
 	if k.most && !c.alone {
 		return limit * max(c.factor, 1)
@@ -482,7 +479,7 @@
 
 // relate compares a class with the others.
 func (c *FlowController) relate(index int, k *flowClass, total float64) {
-	k.least, k.most, k.cumulative, k.share, k.reserved, k.costRatio = true, true, 1, 1, 0, 1
+	k.least, k.most, k.cumulative, k.share, k.costRatio = true, true, 1, 1, 1
 	if total > 0 {
 		k.cumulative, k.share = 0, k.load/total
 	}
@@ -495,9 +492,6 @@
 			k.most = k.most && !o.known
 		case o.Priority > k.Priority:
 			k.least = false
-			if c.slots > 0 {
-				k.reserved += min(reserveGrowth*o.load/c.slots, c.levelShare())
-			}
 		case o.quantile > 0:
 			sameTime += o.quantile
 			same++
