--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -65,6 +65,7 @@
 type route struct {
 	kind        RouteKind
 	class       flowClass
+	classIndex  uint8 // of the class; 0 if its flows are never refused
 	services    []weightedService
 	totalWeight uint32
 	answers     *serverload.Answers // kept across versions
@@ -90,6 +91,7 @@
 	if e.configured && c.Version <= e.version {
 		return c.Version == e.version
 	}
+	e.clearClasses()
 	routes := make(map[routeKey]*route, len(c.Routes))
 	for i := range c.Routes {
 		k := routeKey{c.Routes[i].Address, c.Routes[i].Port}
@@ -128,6 +130,7 @@
 		r.totalWeight += w.Weight
 		r.pastServices = append(r.pastServices, s)
 	}
+	e.enableAdmission(r)
 	for _, b := range previous {
 		if b == nil {
 			continue
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -88,6 +88,9 @@
 	passedOverCold bool   // the current choice has passed over a cold server
 	keptFromCold   uint64 // opening packets that were kept from cold servers
 
+	flowClasses flowClasses
+	lastRefusal FlowRefusal
+
 	peerLoads     map[string]peerLoads
 	ackDelay      time.Duration // last known delay of acknowledgements of any service
 	ackDelayKnown bool
@@ -201,6 +204,7 @@
 	}
 	if len(e.flows) < e.cfg.MaxFlows {
 		f = e.track(now, p.Flow, s, r.kind)
+		f.class = r.classIndex
 		f.seq = p.Sequence
 		e.addExpectedRate(s, r)
 		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
@@ -233,6 +237,7 @@
 			}
 			f, newlyTracked = e.track(now, p.Flow, s, e.routeKind(p.Flow)), true
 			f.answers = manyAnswers // its earlier answers are unknown
+			f.class = e.routeClass(p.Flow)
 		} else if s != nil {
 			// The cookie names the server whose answer reached the client.
 			e.assign(f, s)
@@ -293,6 +298,14 @@
 	return sameCookie[0], ByCookie
 }
 
+// routeClass returns the index of the class of a flow whose opening packet this instance has not seen.
+func (e *Engine) routeClass(k FlowKey) uint8 {
+	if r := e.routes[routeKey{k.Service, k.ServicePort}]; r != nil {
+		return r.classIndex
+	}
+	return 0
+}
+
 func (e *Engine) routeKind(k FlowKey) RouteKind {
 	if r := e.routeOf(k); r != nil {
 		return r.kind
@@ -327,6 +340,7 @@
 	e.expire(now)
 	e.expirePeerLoads(now)
 	actions = append(actions, e.measureRates(now)...)
+	e.updateAdmission(now)
 	if now >= e.nextForget {
 		e.nextForget = now + forgetInterval
 		e.forgetServers(now)
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -21,12 +21,13 @@
 	ack            uint32 // highest acknowledgement sent by the client
 	seenAt         uint32 // last packet
 	sentAt         uint32 // first transmission of the data that waits for an answer
+	handshake      uint16 // time between its opening packet and the next one; 0 if unknown
 	state          flowState
 	kind           RouteKind
-	requestPending bool   // a request is sent and not answered
-	overdue        bool   // the pending request was counted as failed
-	handshake      uint16 // time between its opening packet and the next one; 0 if unknown
-	answers        uint8  // answers that the client has acknowledged, up to manyAnswers
+	class          uint8 // index of the route's class
+	requestPending bool  // a request is sent and not answered
+	overdue        bool  // the pending request was counted as failed
+	answers        uint8 // answers that the client has acknowledged, up to manyAnswers
 }
 
 func millis(d time.Duration) uint32    { return uint32(d / time.Millisecond) }
@@ -108,6 +109,7 @@
 		f.seq = end
 		if !f.requestPending && f.state == open {
 			e.setRequestPending(now, f, true)
+			e.countClassRequest(now, f)
 			f.sentAt, f.overdue = millis(now), false
 			e.observeNextRequest(f)
 			e.countRequest(f.server)
--- a/serverload/answers.go
+++ b/serverload/answers.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// immediateBytes is the minimum number of bytes that a client acknowledges at once, since
+	// ImmediateBytes is the minimum number of bytes that a client acknowledges at once, since
 	// they take two packets of 1,200 bytes.
-	immediateBytes = 1201
+	ImmediateBytes = 1201
 	// closingShare is the share of the flows of a route that end after their first answer from
 	// which a first answer counts as acknowledged at once. Below openShare it counts as
 	// acknowledged late. In between, the kind is unknown.
@@ -60,7 +60,7 @@
 // answer on its flow, finish whether its packet ends the flow.
 func (a *Answers) Classify(bytes uint32, first, finish bool) Acknowledgement {
 	switch {
-	case bytes >= immediateBytes:
+	case bytes >= ImmediateBytes:
 		return TwoPacket
 	case !first && finish:
 		return Unclear // the client may have waited before it closed the flow
