--- a/admission/newflows.go
+++ b/admission/newflows.go
@@ -40,11 +40,12 @@
 	// The limits are multiplied by a factor that corrects errors of the estimated utilization: it
 	// falls while flows are lost although the estimate is within the limit and rises slowly otherwise.
 	factorDecrease = 0.9
-	factorIncrease = 0.04
+	factorIncrease = 0.08
 	// Late and overdue answers may have causes other than load, so they lower the limits less than
-	// shed ones. The lower bounds keep a wrong estimate from refusing flows at half of the capacity.
-	minFactor     = 0.6
-	minFactorLate = 0.8
+	// shed ones. The lower bounds are the errors expected of the estimate: a few long requests raise the
+	// mean service time by a fifth above the one that the quantile gives.
+	minFactor     = 0.75
+	minFactorLate = 0.9
 	// minFactorAlone applies to an instance that knows only its own part of the load. Its limits follow
 	// from the share of shed requests alone.
 	minFactorAlone = 0.01
