Share the count of reporting peers and the endpoint of a route

Cause: admission control scanned all load reports in each tick of 10 ms, also without prioritised routes, for what reportingPeers counts; the configuration check built a route's address and port by hand, as package forwarding does already.

Change: admission asks reportingPeers when it sets the slots, every 250 ms; Route.Endpoint serves both. No change of behaviour.

--- a/forwarding/admit.go
+++ b/forwarding/admit.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"strings"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/admission"
@@ -162,18 +161,16 @@
 
 // updateAdmission updates the limits of all services.
 func (e *Engine) updateAdmission(now time.Duration) {
-	alone := true
-	for source := range e.peerLoads {
-		alone = alone && strings.HasPrefix(source, domainSourcePrefix)
-	}
 	for _, svc := range e.services {
-		if a := svc.admission; a != nil && now >= a.nextSlots {
-			a.nextSlots = now + rateInterval
-			a.controller.SetSlots(svc.ownSlots(a), alone)
+		a := svc.admission
+		if a == nil {
+			continue
 		}
-		if svc.admission != nil {
-			svc.admission.controller.Update(now)
+		if now >= a.nextSlots {
+			a.nextSlots = now + rateInterval
+			a.controller.SetSlots(svc.ownSlots(a), e.reportingPeers() == 0)
 		}
+		a.controller.Update(now)
 	}
 }
 
--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -92,7 +92,7 @@
 // count is an estimate, and the server itself decides.
 func (s *server) usableBeyondLimit(time.Duration) bool { return s.usable() }
 
-// candidate is an eligible server with its load as defined by server.load.
+// candidate is an eligible server with its load as defined by server.loads.
 type candidate struct {
 	server   *server
 	load     float64
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/serverload"
@@ -36,6 +37,9 @@
 	Prioritised bool
 }
 
+// Endpoint returns the service address and port of the route.
+func (r *Route) Endpoint() netip.AddrPort { return endpoint(r.Address, r.Port) }
+
 // ServiceLimits are the limits of each backend server of a service.
 type ServiceLimits struct {
 	MaxFlows  int           // open flows; 0 for no limit
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -4,7 +4,6 @@
 package configcheck
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -106,7 +105,7 @@
 func Check(c, inForce *Configuration, servers Servers) []Finding {
 	k := checker{Configuration: c, servers: servers, last: make(map[netip.AddrPort]int, len(c.Routes))}
 	for i := range c.Routes {
-		k.last[key(&c.Routes[i])] = i
+		k.last[c.Routes[i].Endpoint()] = i
 	}
 	if inForce != nil && c.Version <= inForce.Version {
 		k.add("", "version", "%d is not above %d, which is in force, so that no instance uses it", c.Version, inForce.Version)
@@ -124,7 +123,7 @@
 
 func (k *checker) checkRoute(i int) {
 	r, entry := &k.Routes[i], k.routeEntry(i)
-	if last := k.last[key(r)]; last != i {
+	if last := k.last[r.Endpoint()]; last != i {
 		k.add(entry, "", "never matches: %s has the same address and port, and the last one counts", k.routeEntry(last))
 	}
 	k.checkServicesOfRoute(entry, r)
@@ -197,15 +196,9 @@
 	}
 }
 
-func key(r *forwarding.Route) netip.AddrPort {
-	var b [4]byte
-	binary.BigEndian.PutUint32(b[:], r.Address)
-	return netip.AddrPortFrom(netip.AddrFrom4(b), r.Port)
-}
-
 // routeEntry names a route by its position and address, and by its name if it has one.
 func (c *Configuration) routeEntry(i int) string {
-	text := fmt.Sprintf("route %d %s", i, key(&c.Routes[i]))
+	text := fmt.Sprintf("route %d %s", i, c.Routes[i].Endpoint())
 	if name := c.names.Routes[i]; name != "" {
 		text += fmt.Sprintf(" %q", name)
 	}
--- a/internal/configcheck/diff.go
+++ b/internal/configcheck/diff.go
@@ -94,7 +94,7 @@
 func routesByKey(c *Configuration) map[netip.AddrPort][]field {
 	out := make(map[netip.AddrPort][]field, len(c.Routes))
 	for i := range c.Routes {
-		out[key(&c.Routes[i])] = routeFields(&c.Routes[i])
+		out[c.Routes[i].Endpoint()] = routeFields(&c.Routes[i])
 	}
 	return out
 }
