--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -15,6 +15,7 @@
 	errNotOpened = errors.New("no SYN+ACK within 1.4 s")
 	errReset     = errors.New("reset")
 	errLate      = errors.New("no answer by the deadline")
+	errEnded     = errors.New("the flow has ended before")
 	errClosed    = errors.New("closed by the host")
 )
 
@@ -233,6 +234,10 @@
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", method, path, id)
 	end := time.After(deadline)
 	f.mu.Lock()
+	if f.resetBy != "" || f.closed {
+		f.mu.Unlock()
+		return "", errEnded
+	}
 	seq := f.next
 	f.next += uint32(len(text))
 	f.answer = nil
--- a/review/standins2/host.go
+++ b/review/standins2/host.go
@@ -15,8 +15,8 @@
 	"time"
 )
 
-// work is about the mean work of a request.
-const work = 25 * time.Millisecond
+// usualWork is about the mean work of a request.
+const usualWork = 25 * time.Millisecond
 
 // host is a backend server as PROTOCOL.md describes it. The hosts of these scripts live to the end.
 type host struct {
@@ -27,9 +27,11 @@
 	addr    netip.AddrPort
 	born    time.Time
 	conn    *net.UDPConn
+	health  *http.Server
 	slots   chan struct{}
 
 	mu        sync.Mutex
+	work      time.Duration // of a request
 	flows     map[[2]netip.AddrPort]*hostFlow
 	seq       int // of the entry
 	entry     []byte
@@ -51,7 +53,7 @@
 }
 
 func (w *world) startHost(id, service, zone string, ip netip.Addr) (*host, error) {
-	h := &host{w: w, id: id, service: service, zone: zone, addr: netip.AddrPortFrom(ip, w.hostPort), born: time.Now(),
+	h := &host{w: w, id: id, service: service, zone: zone, addr: netip.AddrPortFrom(ip, w.hostPort), born: time.Now(), work: usualWork,
 		slots: make(chan struct{}, 2), flows: make(map[[2]netip.AddrPort]*hostFlow)}
 	var err error
 	if h.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.addr)); err != nil {
@@ -75,8 +77,8 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go server.Serve(l)
+	h.health = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go h.health.Serve(l)
 	go h.serve()
 	w.mu.Lock()
 	w.hosts = append(w.hosts, h)
@@ -225,6 +227,9 @@
 	go func() {
 		h.slots <- struct{}{}
 		h.w.ran(id, h, f.service)
+		h.mu.Lock()
+		work := h.work
+		h.mu.Unlock()
 		time.Sleep(work)
 		<-h.slots
 		h.mu.Lock()
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -21,7 +21,7 @@
 	"cut":      cut,
 	"entry":    entry,
 	"freeze":   freeze,
-	"move":     move,
+	"leave":    leave,
 	"timeouts": timeouts,
 }
 
