Positions hold revisions up to 2^48

A response with a revision above 2^40 was rejected as a whole. The users' pages only say that the counter starts above 0: one that starts at the time in milliseconds (1.8e12) would have left every instance without records.

The position now has 48 bits for the revision and 16 for the era.

--- a/directory/position.go
+++ b/directory/position.go
@@ -7,8 +7,9 @@
 // changes. Positions compare like numbers: first by era, then by revision.
 type Position uint64
 
-// revisionBits is the number of low bits that hold the revision: 35 years of 1,000 changes a second.
-const revisionBits = 40
+// revisionBits is the number of low bits that hold the revision. They hold a revision that began at a
+// time in milliseconds; 16 bits are left for the era, enough for a restore each day in 179 years.
+const revisionBits = 48
 
 // NewPosition returns the position of a revision in an era. It returns false if either number is
 // out of range.
