An instance holds the watch only while the store answers it

Cause, from the logs of the case: the watcher's call fails after 2.3 s, but its status goes on to say that it watches, because UpdateWatch measured the wait before a takeover from the watcher's own election. The peers waited until its confirmation was older than 2.4 s, and then 1.15 s more. Each step was within the bound, the sum was not. Ruled out: slow transport between instances (both followers have the version within 1 ms), and a hang that is not noticed.

Change: an instance holds the watch only until the store's next answer to its own calls is overdue; its status says for how long. A failed call ends the hold at once. An instance that tries holds nothing before its first answer, so that a successor without access to the store no longer counts. Successors follow 150 ms apart. timing.takeoverTime adds up the steps, and the wait time of a watch is what they leave of the bound. Confirmations are dated at the answer. The log line store_watch shows each change.

Failed before: TestChangesArriveWhenTheReadersLoseTheStore ("3s after the change, laval-0 has version 1 of 3, drain known: false", silent and refused), TestConfirmationIsAsOldAsTheAnswer ("confirmed 155ms ago, the store answered 450ms ago"). The simulation in mesh_test.go had no call that hangs and a step of 250 ms; it now has calls with a duration and a step of 50 ms, and instances send at different moments.

--- a/internal/forwarder/settings_test.go
+++ b/internal/forwarder/settings_test.go
@@ -117,6 +117,22 @@
 	})
 }
 
+// Guards against a takeover whose steps together take longer than the bound, although each of them is
+// short, and against more calls to the store than the bounds require. Deployments with larger failure
+// domains have larger bounds.
+func TestTakeoverFitsIntoTheBound(t *testing.T) {
+	for bound, instances := range map[time.Duration]int{3 * time.Second: 6, 4 * time.Second: 90, 5 * time.Second: 90, 6 * time.Second: 90} {
+		s := Settings{ConfigurationBound: bound, DrainBound: bound, EvacuationBound: bound}
+		got := newTiming(&s)
+		if took := got.takeoverTime(instances); took > bound {
+			t.Errorf("%d instances: the steps of a takeover take %v, the bound is %v", instances, took, bound)
+		}
+		if got.watchWait != maxWatchWait || got.batchDelay != maxBatchDelay {
+			t.Errorf("bound %v: %+v", bound, got)
+		}
+	}
+}
+
 // Guards against a watch that waits too long: an unresponsive watch, its timeout and the
 // takeover by another instance must fit within ConfigurationBound and DrainBound.
 func TestTimingFollowsTheBounds(t *testing.T) {
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -10,6 +10,7 @@
 	"github.com/monsoonthread/monsoonthread/directory"
 	"github.com/monsoonthread/monsoonthread/internal/logging"
 	"github.com/monsoonthread/monsoonthread/mesh"
+	"github.com/monsoonthread/monsoonthread/peer/exchange"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 	"github.com/monsoonthread/monsoonthread/result"
 )
@@ -46,22 +47,41 @@
 )
 
 const (
-	// maxWatchWait and maxBatchDelay are upper limits. A shorter ConfigurationBound or
-	// DrainBound leads to shorter times.
+	// maxWatchWait and maxBatchDelay are upper limits. A shorter ConfigurationBound, DrainBound or
+	// EvacuationBound leads to shorter times.
 	maxWatchWait  = 1500 * time.Millisecond
 	maxBatchDelay = 300 * time.Millisecond
-	// The wait time of a watch and the delay after it are the shortest of ConfigurationBound,
-	// DrainBound and EvacuationBound, divided by watchWaitDivisor and batchDelayDivisor. A watch on an
-	// unresponsive connection, its timeout and the takeover by another instance must fit
-	// within that bound.
-	watchWaitDivisor  = 2
+	// batchDelayDivisor is the shortest bound divided by the delay after a watch with changes.
 	batchDelayDivisor = 10
+	// minWatchWaitDivisor limits the calls to the store if the bound is too short for a takeover.
+	minWatchWaitDivisor = 4
+	// confirmationWait is the wait time of the first watch after a takeover or a failure. The store
+	// answers it at once, so that other instances learn soon whether this one reaches the store.
+	confirmationWait = time.Millisecond
+)
+
+// The steps from the last answer that a watcher gets before its calls hang, until all instances of
+// its failure domain have a change that was made directly after that answer. The wait time of the
+// watch comes on top. See timing.takeoverTime.
+const (
+	// overdueMargin is how long the answer to a watch may be late: one status message with the
+	// answer before may be lost, and a response takes up to 100 ms.
+	overdueMargin = 2*mesh.StatusInterval + 100*time.Millisecond
+	// unreachableSuccessors is the number of instances next in rank that cannot reach the store either.
+	unreachableSuccessors = 1
+	// firstAnswerTime is the time in which the store answers on a new connection.
+	firstAnswerTime = 50 * time.Millisecond
+	// pullTime is the time of a pull from an instance that is alive.
+	pullTime = 50 * time.Millisecond
+	// smallDomain is the number of instances in a failure domain up to which the steps fit in a bound
+	// of 3 s. In larger ones, pulls are spread over more time.
+	smallDomain = 6
 )
 
 // timing holds the durations that are derived from the bounds on configuration, draining and
 // evacuation.
 type timing struct {
-	watchWait    time.Duration // how long a watch waits for a change; also limits how long a silent connection goes unnoticed
+	watchWait    time.Duration // how long a watch waits for a change, including the delay before it
 	batchDelay   time.Duration // delay after a watch; batches bursts of changes to save store calls
 	maxRecordAge time.Duration // maximum age of records that count as current
 }
@@ -71,9 +91,19 @@
 	if s.EvacuationBound > 0 {
 		bound = min(bound, s.EvacuationBound)
 	}
-	t := timing{watchWait: min(bound/watchWaitDivisor, maxWatchWait), batchDelay: min(bound/batchDelayDivisor, maxBatchDelay)}
-	t.maxRecordAge = t.watchWait + t.batchDelay + 2*mesh.StatusInterval + 100*time.Millisecond
-	return t
+	steps := timing{maxRecordAge: overdueMargin}.takeoverTime(smallDomain)
+	watchWait := min(max(bound-steps, bound/minWatchWaitDivisor), maxWatchWait)
+	return timing{watchWait: watchWait, batchDelay: min(bound/batchDelayDivisor, maxBatchDelay), maxRecordAge: watchWait + overdueMargin}
+}
+
+// takeoverTime returns the time in which a change reaches all instances of a failure domain whose
+// watcher stops getting answers, also if the datagram that carries the change is lost.
+func (t timing) takeoverTime(instances int) time.Duration {
+	return t.maxRecordAge + // until the watch is no longer held
+		pollInterval + // until the others notice
+		mesh.TakeoverDelay(1+unreachableSuccessors) +
+		firstAnswerTime +
+		mesh.PullDelay(instances-1) + mesh.StatusInterval + pullTime // missing records are pulled at that interval
 }
 
 // syncWithStore keeps the records current. It reads the store while this instance is the
@@ -82,18 +112,24 @@
 	f.loadInitialRecords(ctx)
 	f.finishInitialSync()
 	listed := f.hasRecords()
-	refused := 0 // consecutive watches that the store refused because it lacks the history
+	refused := 0               // consecutive watches that the store refused because it lacks the history
+	waited := time.Duration(0) // since the last answer
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		watch := f.mesh.UpdateWatch(f.now())
-		f.mu.Unlock()
-		if !watch {
+		state := f.updateWatch()
+		if state == mesh.Following {
+			waited = 0
 			sleep(ctx, pollInterval)
 			continue
 		}
+		wait := f.timing.watchWait - waited
+		if state == mesh.Trying {
+			wait = confirmationWait
+		}
+		waited = 0
+		changed := false
 		var err error
 		if listed {
-			err = f.watchOnce(ctx, f.timing.watchWait, f.timing.batchDelay)
+			changed, err = f.watchOnce(ctx, wait)
 			listed = result.CodeOf(err) != result.StoreHistoryGone
 			if err == nil {
 				refused = 0
@@ -102,6 +138,10 @@
 			listed = true
 		}
 		f.recordStoreCall(ctx, err)
+		if changed { // so that the next watch returns a batch
+			sleep(ctx, f.timing.batchDelay)
+			waited = f.timing.batchDelay
+		}
 		if result.CodeOf(err) == result.StoreHistoryGone {
 			if refused > 0 { // the listing after the last one did not help
 				sleep(ctx, min(minRetryDelay<<min(refused-1, maxRetryDoublings), maxRetryDelay))
@@ -111,6 +151,19 @@
 	}
 }
 
+// updateWatch decides whether this instance calls the store and logs a change of the decision.
+func (f *Forwarder) updateWatch() mesh.WatchState {
+	f.mu.Lock()
+	before := f.mesh.WatchState()
+	state := f.mesh.UpdateWatch(f.now())
+	holder, _ := f.mesh.WatchHolder(f.now())
+	f.mu.Unlock()
+	if state != before {
+		f.log.Info().Stringer("before", before).Stringer(logging.State, state).Str("holder", holder).Msg("store_watch")
+	}
+	return state
+}
+
 // finishInitialSync lets the engine refuse flows and the instance become ready.
 func (f *Forwarder) finishInitialSync() {
 	f.mu.Lock()
@@ -122,17 +175,25 @@
 	f.checkReady()
 }
 
-// recordStoreCall reports the result of a store call to the mesh and waits after a failure.
+// recordStoreCall reports the result of a store call to the mesh, and to the peers if this instance
+// thereby gains or loses the watch. It waits after a failure.
 func (f *Forwarder) recordStoreCall(ctx context.Context, err error) {
 	code := result.CodeOf(err)
 	failed := err != nil && code != result.StoreHistoryGone
 	f.mu.Lock()
+	before := f.mesh.WatchState()
 	if failed {
 		f.mesh.StoreFailed(f.now())
 	} else if err == nil {
 		f.mesh.StoreAnswered(f.now())
 	}
+	state := f.mesh.WatchState()
+	status := f.status(f.now())
 	f.mu.Unlock()
+	if state != before {
+		f.log.Info().Stringer("before", before).Stringer(logging.State, state).Msg("store_watch")
+		f.sendToDomain(&exchange.Message{Status: &status})
+	}
 	if err == nil {
 		if f.storeRetryDelay > 0 {
 			f.log.Info().Msg("store_answers_again")
@@ -213,7 +274,7 @@
 	if err := f.list(ctx, true); err != nil {
 		return err
 	}
-	err := f.watchOnce(ctx, time.Millisecond, 0)
+	_, err := f.watchOnce(ctx, confirmationWait)
 	if result.CodeOf(err) == result.StoreHistoryGone {
 		return f.list(ctx, false)
 	}
@@ -318,23 +379,23 @@
 	return nil
 }
 
-// watchOnce waits for changes, applies them and sends them to the peers. It then waits for
-// pause so that the next watch returns a batch.
-func (f *Forwarder) watchOnce(ctx context.Context, wait, pause time.Duration) error {
+// watchOnce waits for changes, applies them and sends them to the peers. It reports whether there
+// were any.
+func (f *Forwarder) watchOnce(ctx context.Context, wait time.Duration) (changes bool, err error) {
 	f.mu.Lock()
 	after := f.table.AsOf()
 	f.mu.Unlock()
 	events, err := f.store.Watch(ctx, allKeysPrefix, after.Revision(), wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	records, asOf, err := f.toRecords(events.Events, events.Era, events.AsOf)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if asOf.Era() != after.Era() {
 		// The changes follow a revision of another history.
-		return result.Errorf(result.StoreHistoryGone, "the store is in era %d, the records are of era %d", asOf.Era(), after.Era())
+		return false, result.Errorf(result.StoreHistoryGone, "the store is in era %d, the records are of era %d", asOf.Era(), after.Era())
 	}
 	if asOf < after {
 		f.log.Warn().Uint64(logging.Era, asOf.Era()).Uint64(logging.Revision, asOf.Revision()).Stringer("known", after).Msg("store_behind")
@@ -344,12 +405,11 @@
 	changed := f.table.Apply(f.now(), u)
 	f.mu.Unlock()
 	if len(u.Records) == 0 {
-		return nil
+		return false, nil
 	}
 	f.pushUpdate(u)
 	f.apply(changed)
-	sleep(ctx, pause)
-	return nil
+	return true, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/mesh/coldstart.go
+++ b/mesh/coldstart.go
@@ -18,7 +18,7 @@
 // has seen that. An instance that knows no listed instance therefore owns nothing either.
 //
 // An instance that was cut off may miss that another one has become the owner. It therefore owns
-// nothing once its records do not count as current, after MaxRecordAge, which is at most 2.4 s.
+// nothing once its records do not count as current, after MaxRecordAge, which is at most 2.1 s.
 const (
 	// ownershipDelay is how long an instance that becomes an owner waits. By then, the previous
 	// owner knows the change or its records are too old: it is longer than MaxRecordAge.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,15 +40,16 @@
 	Incarnation     uint64        // changes at each start
 	AsOf            uint64        // position in the store's changes up to which its records are complete
 	ConfirmationAge time.Duration // time since its records were last known to be current
-	Watching        bool          // it watches the store
+	Watching        bool          // it holds the watch of its failure domain
+	WatchHeldFor    time.Duration // how long it still holds the watch if the store does not answer
 	Leaving         bool
 }
 
 // Config configures the mesh of an instance.
 type Config struct {
 	Self Peer
-	// MaxRecordAge is the age up to which records count as current. A watcher confirms them at
-	// least this often.
+	// MaxRecordAge is the age up to which records count as current, and the time since the last
+	// answer of the store after which an instance no longer holds the watch.
 	MaxRecordAge time.Duration
 }
 
@@ -63,6 +64,7 @@
 	heard        bool
 	sentAt       time.Duration
 	sent         bool
+	advancedAt   time.Duration // when it first reported the position that it has now
 	aheadSince   time.Duration // since when its records are newer than ours; 0 if they are not
 }
 
@@ -70,10 +72,10 @@
 	return m.heard && now-m.heardAt < within && !m.status.Leaving
 }
 
-// watches reports whether the member watches the store and its records are current. A watcher
-// sends each status message to all peers, so its loss is noticed at once.
-func (m *member) watches(now, maxRecordAge time.Duration) bool {
-	return m.alive(now, minAliveTime) && m.status.Watching && m.status.ConfirmationAge+now-m.heardAt < maxRecordAge
+// holdsWatch reports whether the member watches the store and the store's answers to it are not
+// overdue. A watcher sends each status message to all peers, so its loss is noticed at once.
+func (m *member) holdsWatch(now time.Duration) bool {
+	return m.alive(now, minAliveTime) && now-m.heardAt < m.status.WatchHeldFor
 }
 
 // lostWatch reports whether the member watched the store when it was last heard and has been
@@ -100,9 +102,10 @@
 	confirmed      bool
 	failedAt       time.Duration // time of the last failed store call
 	failed         bool
-	unwatchedSince time.Duration // since when no instance of higher rank is known to watch
+	watch          WatchState
+	answeredAt     time.Duration // last answer of the store while this instance watched
+	unwatchedSince time.Duration // since when no instance of higher rank is known to hold the watch
 	unwatched      bool
-	watching       bool
 	nextRecipient  int                // index of the next status message's first recipient
 	selfListed     bool               // the directory contains this instance in its failure domain
 	gainedAt       time.Duration      // last change that may have made this instance the owner of cold servers; at first the start
@@ -142,6 +145,9 @@
 	if p.heard && s.Incarnation == p.status.Incarnation && s.AsOf < p.status.AsOf {
 		return // reordered in transit
 	}
+	if !p.heard || s.AsOf != p.status.AsOf {
+		p.advancedAt = now
+	}
 	p.status, p.heardAt, p.heard = s, now, true
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -9,13 +9,23 @@
 	"pgregory.net/rapid"
 )
 
-const maxRecordAge = 2400 * time.Millisecond
+const (
+	maxRecordAge = 2100 * time.Millisecond
 
-// network simulates meshes that exchange status messages once per interval. Instances, links
-// and store access can fail.
+	// As in the forwarder: the time between two decisions about the watch, the wait time of a watch,
+	// the time limit of a call on top of it, and the delay after a failed call.
+	decisionInterval = 50 * time.Millisecond
+	watchWait        = 1500 * time.Millisecond
+	callTimeout      = 800 * time.Millisecond
+	retryDelay       = 250 * time.Millisecond
+)
+
+// network simulates meshes that watch the store and exchange status messages. Instances, links and
+// store access can fail. Changes reach other instances only by pulls, as if all pushes were lost.
 type network struct {
 	now       time.Duration
 	instances []*node
+	lost      func() bool // decides whether a status message is lost; nil for none
 }
 
 type node struct {
@@ -23,8 +33,14 @@
 	asOf     uint64
 	up       bool
 	store    bool // its store calls succeed
+	silent   bool // its store calls get no answer
 	isolated bool // no messages are sent or received
-	watches  bool
+	watches  bool // it calls the store
+
+	calling   bool // a watch is in progress
+	waitUntil time.Duration
+	nextCall  time.Duration // after a failed call
+	calls     int
 }
 
 func newNetwork(domains, size int) *network {
@@ -46,26 +62,20 @@
 	return n
 }
 
-// step simulates one status interval: store watches, status messages and pulls.
+// step simulates one decision interval: store watches, and in every fifth step status messages and
+// pulls.
 func (n *network) step(storeRevision uint64) {
-	n.now += StatusInterval
+	n.now += decisionInterval
 	for _, i := range n.instances {
-		if !i.up {
-			continue
-		}
-		i.watches = i.UpdateWatch(n.now)
-		if !i.watches {
-			continue
-		}
-		if i.store {
-			i.asOf = storeRevision
-			i.StoreAnswered(n.now)
+		if i.up {
+			n.watchStore(i, storeRevision)
 		} else {
-			i.StoreFailed(n.now)
+			i.calling = false
 		}
 	}
-	for _, from := range n.instances {
-		if !from.up || from.isolated {
+	for index, from := range n.instances {
+		// The instances send at different moments.
+		if !from.up || (n.now+time.Duration(index)*decisionInterval)%StatusInterval != 0 {
 			continue
 		}
 		full, withoutLoads := from.DomainPeers(n.now)
@@ -73,12 +83,63 @@
 		if from.IsDelegate(n.now) {
 			to = append(to, from.ForeignPeers(n.now)...)
 		}
-		for _, a := range to {
-			n.deliver(a, from.OwnStatus(n.now, 1, from.asOf, false))
+		n.sendStatus(from, to)
+		n.pull(from)
+	}
+}
+
+// watchStore starts or continues the watch of an instance.
+func (n *network) watchStore(i *node, storeRevision uint64) {
+	if !i.calling {
+		if n.now < i.nextCall {
+			return
+		}
+		state := i.UpdateWatch(n.now)
+		if i.watches = state != Following; !i.watches {
+			return
+		}
+		i.calls++
+		i.calling, i.waitUntil = true, n.now
+		if state == Watching {
+			i.waitUntil += watchWait
+		}
+		if !i.store && !i.silent {
+			n.endCall(i, false)
+			return
 		}
 	}
-	for _, i := range n.instances {
-		n.pull(i)
+	switch {
+	case i.silent:
+		if n.now >= i.waitUntil+callTimeout {
+			n.endCall(i, false)
+		}
+	case i.asOf < storeRevision || n.now >= i.waitUntil:
+		i.asOf = storeRevision
+		n.endCall(i, true)
+	}
+}
+
+func (n *network) endCall(i *node, answered bool) {
+	before := i.WatchState()
+	if i.calling = false; answered {
+		i.StoreAnswered(n.now)
+	} else {
+		i.StoreFailed(n.now)
+		i.nextCall = n.now + retryDelay
+	}
+	if i.WatchState() != before {
+		n.sendStatus(i, i.AliveDomainPeers(n.now))
+	}
+}
+
+func (n *network) sendStatus(from *node, to []netip.AddrPort) {
+	if from.isolated {
+		return
+	}
+	for _, a := range to {
+		if n.lost == nil || !n.lost() {
+			n.deliver(a, from.OwnStatus(n.now, 1, from.asOf, false))
+		}
 	}
 }
 
--- a/mesh/pull.go
+++ b/mesh/pull.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonthread/monsoonthread/placement"
@@ -26,7 +27,7 @@
 			continue
 		}
 		if p.aheadSince == 0 {
-			p.aheadSince = now
+			p.aheadSince = max(p.advancedAt, 1)
 		}
 		if asOf > 0 && now-p.aheadSince < m.pullDelay() {
 			continue
@@ -43,14 +44,15 @@
 
 // pullDelay returns the delay of this instance according to its rank in the failure domain.
 func (m *Mesh) pullDelay() time.Duration {
-	delay, generationEnd := pullDelay, firstGenerationSize
-	for i, p := range m.ranked[m.cfg.Self.Domain] {
-		if p.ID == m.cfg.Self.ID {
-			break
-		}
-		if i+1 == generationEnd {
-			delay, generationEnd = delay+pullDelay, 2*generationEnd
-		}
+	own := m.ranked[m.cfg.Self.Domain]
+	return PullDelay(slices.IndexFunc(own, func(p *member) bool { return p.ID == m.cfg.Self.ID }))
+}
+
+// PullDelay returns the delay of the instance with a rank in its failure domain, counted from 0.
+func PullDelay(rank int) time.Duration {
+	delay := pullDelay
+	for generationEnd := firstGenerationSize; rank >= generationEnd; generationEnd *= 2 {
+		delay += pullDelay
 	}
 	return delay
 }
--- a/mesh/recipients.go
+++ b/mesh/recipients.go
@@ -31,9 +31,10 @@
 
 // DomainPeers returns the addresses in the own failure domain that the next status message
 // goes to. Those in full, chosen round-robin, get it with the loads; those in withoutLoads,
-// none unless this instance watches the store, get it without them.
+// none unless this instance holds the watch, get it without them.
 func (m *Mesh) DomainPeers(now time.Duration) (full, withoutLoads []netip.AddrPort) {
 	own := m.ranked[m.cfg.Self.Domain]
+	holdsWatch := m.heldFor(now) > 0
 	for i := range own {
 		p := own[(m.nextRecipient+i)%len(own)]
 		if p.ID == m.cfg.Self.ID {
@@ -42,7 +43,7 @@
 		switch {
 		case len(full) < fullRecipients && p.allowSend(now, m.aliveTime()):
 			full = append(full, p.Address)
-		case m.watching && p.allowSend(now, m.aliveTime()):
+		case holdsWatch && p.allowSend(now, m.aliveTime()):
 			withoutLoads = append(withoutLoads, p.Address)
 		}
 	}
--- a/mesh/view.go
+++ b/mesh/view.go
@@ -6,7 +6,7 @@
 type MemberView struct {
 	Peer
 	Alive    bool
-	Watching bool          // it watched the store when it was last heard
+	Watching bool          // it held the watch when it was last heard
 	AsOf     uint64        // position in the store's changes up to which its records were complete
 	HeardAgo time.Duration // negative if it was never heard
 }
@@ -25,8 +25,22 @@
 	return out
 }
 
-// Watching reports the last decision of UpdateWatch.
-func (m *Mesh) Watching() bool { return m.watching }
+// Watching reports whether this instance watches the store and the store answered its last call.
+func (m *Mesh) Watching() bool { return m.watch == Watching }
+
+// WatchState returns the state after the last decision or call.
+func (m *Mesh) WatchState() WatchState { return m.watch }
+
+// WatchHolder returns the ID of the first peer in rank that holds the watch of the own failure domain;
+// false if none does.
+func (m *Mesh) WatchHolder(now time.Duration) (string, bool) {
+	for _, p := range m.ranked[m.cfg.Self.Domain] {
+		if p.ID != m.cfg.Self.ID && p.holdsWatch(now) {
+			return p.ID, true
+		}
+	}
+	return "", false
+}
 
 // ConfirmationAge returns the time since this instance's records were last known to be current;
 // false if they never were.
--- a/peer/exchange/exchange.go
+++ b/peer/exchange/exchange.go
@@ -141,6 +141,7 @@
 	b = appendPosition(b, 3, 7, directory.Position(s.AsOf))
 	b = appendUint(b, 4, uint64(s.ConfirmationAge/time.Millisecond))
 	b = appendBool(b, 5, s.Watching)
+	b = appendUint(b, 8, uint64(s.WatchHeldFor/time.Millisecond))
 	return appendBool(b, 6, s.Leaving)
 }
 
@@ -288,6 +289,8 @@
 			s.ConfirmationAge = time.Duration(min(number, maxAge)) * time.Millisecond
 		case 5:
 			s.Watching = number != 0
+		case 8:
+			s.WatchHeldFor = time.Duration(min(number, maxAge)) * time.Millisecond
 		case 6:
 			s.Leaving = number != 0
 		}
--- a/peer/exchange/exchange_test.go
+++ b/peer/exchange/exchange_test.go
@@ -19,7 +19,7 @@
 func exampleMessage() *Message {
 	peer := mesh.Peer{ID: "laval-1", Domain: "laval", Address: netip.MustParseAddrPort("10.1.0.10:7720")}
 	return &Message{
-		Status: &mesh.Status{Peer: peer, Incarnation: 1 << 60, AsOf: 1 << 40, ConfirmationAge: 1500 * time.Millisecond, Watching: true, Leaving: true},
+		Status: &mesh.Status{Peer: peer, Incarnation: 1 << 60, AsOf: 1 << 40, ConfirmationAge: 1500 * time.Millisecond, Watching: true, WatchHeldFor: 2100 * time.Millisecond, Leaving: true},
 		Loads: []forwarding.Load{{Cookie: 0xdeadbeef, Rate: 12.25, ServiceTime: 22 * time.Millisecond}, {Cookie: 1}, {Cookie: 2, Flows: 300},
 			{Cookie: 3, Flows: 2, SampleSum: 5 * time.Millisecond, Samples: 0.29}},
 		LeastLoaded: []DomainLeastLoaded{{Domain: "levis", Loads: []forwarding.Load{{Cookie: 7, Rate: 3, Flows: 1}}}, {Domain: "empty"}},
