A peer that does not answer pulls no longer stops them

The pull also delayed the instance's own status messages by up to 1.5 s, while a peer that is silent for 1 s does not count as alive.

A peer that did not answer is now passed over for 2 s if another one is ahead, and pulls run beside the status messages.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,7 @@
 	counters        *counters
 	lastPacketAt    atomic.Int64 // time of the last packet, in nanoseconds since start
 	initialSyncDone atomic.Bool  // set once the initial records are current
+	pulling         atomic.Bool  // a pull of missing records is in progress
 
 	self            mesh.Peer
 	incarnation     uint64
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -126,7 +126,7 @@
 	defer ticker.Stop()
 	for {
 		f.sendStatus()
-		f.pullMissing(ctx)
+		f.startPull(ctx)
 		f.mu.Lock()
 		f.table.Expire(f.now())
 		f.mesh.Forget(f.now())
@@ -235,6 +235,18 @@
 	f.sendDatagram(&m, to)
 }
 
+// startPull pulls missing records in the background, one pull at a time: a peer that does not answer
+// must not delay the status messages, without which this instance would not count as alive.
+func (f *Forwarder) startPull(ctx context.Context) {
+	if !f.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.pulling.Store(false)
+		f.pullMissing(ctx)
+	}()
+}
+
 // pullMissing pulls records from a peer whose records are ahead, if there is one.
 func (f *Forwarder) pullMissing(ctx context.Context) {
 	f.mu.Lock()
@@ -249,6 +261,9 @@
 		return
 	}
 	if err := f.pull(ctx, from.Address, asOf); err != nil {
+		f.mu.Lock()
+		f.mesh.PullFailed(f.now(), from.ID)
+		f.mu.Unlock()
 		f.log.Warn().Str(logging.Peer, from.ID).Uint16(logging.Code, errorCode(err)).Err(err).Msg("pull_failed")
 	}
 }
--- a/internal/forwarder/takeover_test.go
+++ b/internal/forwarder/takeover_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonthread/monsoonthread/directory"
+	"github.com/monsoonthread/monsoonthread/mesh"
+	"github.com/monsoonthread/monsoonthread/peer/exchange"
 	"github.com/monsoonthread/monsoonthread/platform/wire"
 )
 
@@ -194,6 +198,56 @@
 	}
 }
 
+// Guards against a version that arrives late, and against a pause in the status messages, because a peer
+// that is ahead accepts pulls and does not answer them. The version is too large for a datagram.
+func TestPeerThatDoesNotAnswerPullsDelaysNothing(t *testing.T) {
+	d, a, b := startPair(t)
+	instances := []*instance{a, b}
+	time.Sleep(2 * time.Second) // more than one instance may read the store after a start
+	watcher := d.watcher(instances)
+	follower := instances[1-watcher]
+	silent, err := net.Listen("tcp4", fmt.Sprint("127.0.2.9:", d.ports[2]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	ahead, _ := directory.NewPosition(1, 1<<30)
+	go func() {
+		peer := mesh.Peer{ID: "silent", Domain: "laval", Address: netip.MustParseAddrPort(silent.Addr().String())}
+		for tick := time.Tick(100 * time.Millisecond); ; {
+			select {
+			case <-stop:
+				return
+			case <-tick:
+				follower.handleMessage(&exchange.Message{Status: &mesh.Status{Peer: peer, Incarnation: 1, AsOf: uint64(ahead)}}, peer.Address)
+			}
+		}
+	}()
+	for range 4 {
+		time.Sleep(700 * time.Millisecond)
+		d.configureMany(400)
+		accepted := time.Now()
+		var silence time.Duration
+		d.eventually("large version", configurationBound, func() bool {
+			other := instances[watcher]
+			other.mu.Lock()
+			for _, m := range other.mesh.View(other.now()) {
+				if m.ID == follower.self.ID {
+					silence = max(silence, m.HeardAgo)
+				}
+			}
+			other.mu.Unlock()
+			return follower.version() == uint64(d.version)
+		})
+		if silence > 3*mesh.StatusInterval {
+			t.Errorf("no status for %v", silence)
+		}
+		t.Logf("in force after %v", time.Since(accepted))
+	}
+}
+
 // Guards against a takeover whose cause and moment the logs do not show.
 func TestTakeoverIsLogged(t *testing.T) {
 	d := newDeployment(t)
@@ -217,3 +271,13 @@
 	}
 	return false
 }
+
+// configureMany stores a new configuration with many routes to the service orders.
+func (d *deployment) configureMany(routes int) {
+	d.version++
+	var list []string
+	for i := range routes {
+		list = append(list, fmt.Sprintf(`{"host":"198.18.1.%d","prefix":"/%d/","kind":"idempotent","service":"orders","timeoutMs":%d}`, i%250, 1000+i, d.version))
+	}
+	d.store.Put(wire.ConfigurationKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"orders","healthPath":"/health"}]}`, d.version, strings.Join(list, ","))))
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -66,6 +66,8 @@
 	sent         bool
 	advancedAt   time.Duration // when it first reported the position that it has now
 	aheadSince   time.Duration // since when its records are newer than ours; 0 if they are not
+	pullFailedAt time.Duration // last pull that it did not answer
+	pullFailed   bool
 }
 
 func (m *member) alive(now, within time.Duration) bool {
--- a/mesh/pull.go
+++ b/mesh/pull.go
@@ -14,11 +14,14 @@
 	// the link of the instance that read it from the store.
 	pullDelay           = 100 * time.Millisecond
 	firstGenerationSize = 3
+	// pullBackoff is how long a peer that did not answer a pull is passed over if another one is ahead.
+	// In a large failure domain, a peer that has failed counts as alive for longer than a change may take.
+	pullBackoff = 2 * time.Second
 )
 
 // PullFrom returns a live peer whose records have been complete up to a later position for
 // so long that a pushed record should have arrived. Peers of the own failure domain are
-// preferred.
+// preferred, and those that have answered.
 func (m *Mesh) PullFrom(now time.Duration, asOf uint64) (Peer, bool) {
 	var best *member
 	for _, p := range m.members {
@@ -32,7 +35,7 @@
 		if asOf > 0 && now-p.aheadSince < m.pullDelay() {
 			continue
 		}
-		if best == nil || m.prefer(p, best) {
+		if best == nil || m.prefer(now, p, best) {
 			best = p
 		}
 	}
@@ -57,8 +60,23 @@
 	return delay
 }
 
+// PullFailed records that a peer did not answer a pull.
+func (m *Mesh) PullFailed(now time.Duration, id string) {
+	if p := m.members[id]; p != nil {
+		p.pullFailedAt, p.pullFailed = now, true
+	}
+}
+
+// pullFailing reports whether the member recently did not answer a pull.
+func (m *member) pullFailing(now time.Duration) bool {
+	return m.pullFailed && now-m.pullFailedAt < pullBackoff
+}
+
 // prefer reports whether to pull from a rather than from b.
-func (m *Mesh) prefer(a, b *member) bool {
+func (m *Mesh) prefer(now time.Duration, a, b *member) bool {
+	if a.pullFailing(now) != b.pullFailing(now) {
+		return b.pullFailing(now)
+	}
 	if own := m.cfg.Self.Domain; (a.Domain == own) != (b.Domain == own) {
 		return a.Domain == own
 	}
--- a/mesh/takeover_test.go
+++ b/mesh/takeover_test.go
@@ -96,6 +96,45 @@
 	}
 }
 
+// Guards against pulls from one peer that does not answer, one after the other, while others are ahead
+// too: in a large failure domain, a peer that has just stopped counts as alive for seconds.
+func TestPullsAvoidAPeerThatDoesNotAnswer(t *testing.T) {
+	n := newNetwork(1, 70)
+	first := n.ranked("d0")[0]
+	for _, stopped := range n.ranked("d0")[1:4] {
+		now := time.Minute
+		first.ApplyStatus(now, Status{Peer: stopped.cfg.Self, Incarnation: 1, AsOf: 9})
+		for _, p := range n.ranked("d0")[4:7] {
+			first.ApplyStatus(now, Status{Peer: p.cfg.Self, Incarnation: 1, AsOf: 8})
+		}
+		failures := 0
+		for end := now + changeBound; now < end; now += StatusInterval {
+			from, ok := first.PullFrom(now, 5)
+			if !ok {
+				continue
+			}
+			if from.ID != stopped.cfg.Self.ID {
+				break
+			}
+			failures++
+			now += 500 * time.Millisecond
+			first.PullFailed(now, from.ID)
+		}
+		if failures != 1 {
+			t.Errorf("%d pulls from %s, which does not answer, before another peer is asked", failures, stopped.cfg.Self.ID)
+		}
+		first.Mesh = newNetwork(1, 70).find(first.cfg.Self.Address).Mesh
+	}
+	// Without another peer, the pull is repeated.
+	alone := newNetwork(1, 2)
+	a, b := alone.instances[0], alone.instances[1]
+	a.ApplyStatus(0, Status{Peer: b.cfg.Self, Incarnation: 1, AsOf: 9})
+	a.PullFailed(0, b.cfg.Self.ID)
+	if _, ok := a.PullFrom(StatusInterval, 5); !ok {
+		t.Error("no pull from the only peer that is ahead")
+	}
+}
+
 // Guards against a storm of calls while the store answers nobody. Before instances took over from
 // each other, a failure domain made one call per second at most.
 func TestCallsWhileTheStoreAnswersNobody(t *testing.T) {
