--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -156,7 +156,10 @@
 	f.mu.Lock()
 	before := f.mesh.WatchState()
 	state := f.mesh.UpdateWatch(f.now())
-	holder, _ := f.mesh.WatchHolder(f.now())
+	holder := ""
+	if state != before {
+		holder, _ = f.mesh.WatchHolder(f.now())
+	}
 	f.mu.Unlock()
 	if state != before {
 		f.log.Info().Stringer("before", before).Stringer(logging.State, state).Str("holder", holder).Msg("store_watch")
