Daemons in tests listen where no connection takes their port

The harness takes a free port of 127.0.0.1, closes it, and the daemon listens there only in Run. All connections within the machine have a source port of that address, so that one of them may take it; the daemon then ends, and the test waits without noticing.

That the earlier failures had this cause is likely, but not shown. The harness now listens on addresses of its own, and reports the error of a daemon that has ended. The time limit stays.

--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,8 +42,9 @@
 // instance is a running daemon.
 type instance struct {
 	*Daemon
-	cancel context.CancelFunc
-	done   chan error
+	cancel  context.CancelFunc
+	done    chan error
+	failure atomic.Pointer[error] // with which it ended before it was cancelled
 }
 
 // kill ends a daemon without waiting for a graceful stop.
@@ -55,10 +58,17 @@
 	}
 }
 
+// loopbackAddress returns an address that nothing else uses. A free port of 127.0.0.1 may become the
+// source port of a connection before a daemon listens there: all connections within the machine come from
+// that address, unless they are bound to another one.
+func loopbackAddress() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // freeAddress returns a loopback address with a TCP port that was free when checked.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopbackAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +79,7 @@
 // freeUDPAddress returns a loopback address with a UDP port that was free when checked.
 func freeUDPAddress(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp", loopbackAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -169,7 +179,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &instance{Daemon: dm, cancel: cancel, done: make(chan error, 1)}
-	go func() { in.done <- dm.Run(ctx) }()
+	go func() {
+		err := dm.Run(ctx)
+		if err != nil && ctx.Err() == nil {
+			in.failure.Store(&err)
+		}
+		in.done <- err
+	}()
 	d.instances[id] = in
 	d.list.SetInstance(instancelist.Instance{ID: id, Domain: domain, PeerAddress: s.PeerAddress, Weight: weight})
 	if err := d.fabric.SetInstance(fabric.Instance{ID: id, Domain: domain, Address: netip.MustParseAddrPort(s.FabricListen)}); err != nil {
@@ -182,7 +198,10 @@
 func (d *deployment) waitReady() {
 	d.t.Helper()
 	d.eventually(15*time.Second, "all instances ready", func() bool {
-		for _, in := range d.instances {
+		for id, in := range d.instances {
+			if err := in.failure.Load(); err != nil {
+				d.t.Fatalf("%s has ended: %v", id, *err)
+			}
 			if !in.lifecycle.serving() || d.liveMembers(in) != len(d.instances) {
 				return false
 			}
