--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -91,8 +91,8 @@
 	if s.EvacuationBound > 0 {
 		bound = min(bound, s.EvacuationBound)
 	}
-	steps := timing{maxRecordAge: overdueMargin}.takeoverTime(smallDomain)
-	watchWait := min(max(bound-steps, bound/minWatchWaitDivisor), maxWatchWait)
+	stepsBesideWait := timing{maxRecordAge: overdueMargin}.takeoverTime(smallDomain)
+	watchWait := min(max(bound-stepsBesideWait, bound/minWatchWaitDivisor), maxWatchWait)
 	return timing{watchWait: watchWait, batchDelay: min(bound/batchDelayDivisor, maxBatchDelay), maxRecordAge: watchWait + overdueMargin}
 }
 
