--- a/internal/forwarder/takeover_test.go
+++ b/internal/forwarder/takeover_test.go
@@ -107,7 +107,7 @@
 }
 
 // startWithStorePaths starts instances in a failure domain, each with its own path to the store, and waits
-// until one of them reads the store for all.
+// until they are ready.
 func startWithStorePaths(d *deployment, domain string, first, count int) ([]*instance, []*storePath) {
 	store := d.storeAddr
 	var instances []*instance
