Changes that take longer than the time limit of a watch no longer stop it

A response that takes longer to produce was asked for again with the same limit, without end.

After a call without a response, an instance now makes a call with a short response. If that one is answered, the watch gets 2.3 s, and if that is not enough, a listing follows.

--- a/internal/forwarder/settings_test.go
+++ b/internal/forwarder/settings_test.go
@@ -127,6 +127,9 @@
 		if took := got.takeoverTime(instances); took > bound {
 			t.Errorf("%d instances: the steps of a takeover take %v, the bound is %v", instances, took, bound)
 		}
+		if took := got.recoveryTime(instances); took > bound {
+			t.Errorf("%d instances: the steps after an outage take %v, the bound is %v", instances, took, bound)
+		}
 		if got.watchWait != maxWatchWait || got.batchDelay != maxBatchDelay {
 			t.Errorf("bound %v: %+v", bound, got)
 		}
--- a/internal/forwarder/store.go
+++ b/internal/forwarder/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -106,18 +107,31 @@
 		mesh.PullDelay(instances-1) + mesh.StatusInterval + pullTime // missing records are pulled at that interval
 }
 
+// recoveryTime returns the time in which a change reaches all instances after an outage in which the
+// store left calls without a response, also those that it got just before it answers again.
+func (t timing) recoveryTime(instances int) time.Duration {
+	return storeCallTimeout + maxRetryDelay + // until the probe
+		2*firstAnswerTime + // probe and watch
+		mesh.PullDelay(instances-1) + mesh.StatusInterval + pullTime
+}
+
+// longWatchLimit is the time limit of a watch with many changes. While the store does not answer, the
+// shorter limit of a probe applies.
+func (t timing) longWatchLimit() time.Duration { return t.watchWait + storeCallTimeout }
+
 // syncWithStore keeps the records current. It reads the store while this instance is the
 // watcher of its failure domain; otherwise the records come from peers.
 func (f *Forwarder) syncWithStore(ctx context.Context) {
 	f.loadInitialRecords(ctx)
 	f.finishInitialSync()
 	listed := f.hasRecords()
+	unanswered := false        // the last call got no response in time
 	refused := 0               // consecutive watches that the store refused because it lacks the history
 	waited := time.Duration(0) // since the last answer
 	for ctx.Err() == nil {
 		state := f.updateWatch()
 		if state == mesh.Following {
-			waited = 0
+			unanswered, waited = false, 0
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -129,7 +143,11 @@
 		changed := false
 		var err error
 		if listed {
-			changed, err = f.watchOnce(ctx, wait)
+			if unanswered {
+				changed, err = f.watchAfterProbe(ctx)
+			} else {
+				changed, err = f.watchOnce(ctx, wait, wait+storeCallTimeout)
+			}
 			listed = result.CodeOf(err) != result.StoreHistoryGone
 			if err == nil {
 				refused = 0
@@ -137,6 +155,7 @@
 		} else if err = f.list(ctx, false); err == nil {
 			listed = true
 		}
+		unanswered = errors.Is(err, context.DeadlineExceeded)
 		f.recordStoreCall(ctx, err)
 		if changed { // so that the next watch returns a batch
 			sleep(ctx, f.timing.batchDelay)
@@ -277,7 +296,7 @@
 	if err := f.list(ctx, true); err != nil {
 		return err
 	}
-	_, err := f.watchOnce(ctx, confirmationWait)
+	_, err := f.watchOnce(ctx, confirmationWait, confirmationWait+storeCallTimeout)
 	if result.CodeOf(err) == result.StoreHistoryGone {
 		return f.list(ctx, false)
 	}
@@ -382,13 +401,27 @@
 	return nil
 }
 
+// watchAfterProbe watches after a call without a response. Either the store cannot be reached, and the
+// call is repeated soon, or the response takes longer than the time limit because of many changes, and
+// the same call would fail again. A call with a short response tells one from the other.
+func (f *Forwarder) watchAfterProbe(ctx context.Context) (changes bool, err error) {
+	if _, err := f.store.Range(ctx, instancePrefix+f.self.ID, "", false); err != nil {
+		return false, err
+	}
+	changes, err = f.watchOnce(ctx, confirmationWait, f.timing.longWatchLimit())
+	if errors.Is(err, context.DeadlineExceeded) {
+		return false, result.Errorf(result.StoreHistoryGone, "the store answers, but it does not send the changes in time: %w", err)
+	}
+	return changes, err
+}
+
 // watchOnce waits for changes, applies them and sends them to the peers. It reports whether there
-// were any.
-func (f *Forwarder) watchOnce(ctx context.Context, wait time.Duration) (changes bool, err error) {
+// were any. limit is the time limit of the call.
+func (f *Forwarder) watchOnce(ctx context.Context, wait, limit time.Duration) (changes bool, err error) {
 	f.mu.Lock()
 	after := f.table.AsOf()
 	f.mu.Unlock()
-	events, err := f.store.Watch(ctx, allKeysPrefix, after.Revision(), wait)
+	events, err := f.store.WatchWithin(ctx, allKeysPrefix, after.Revision(), wait, limit)
 	if err != nil {
 		return false, err
 	}
