--- a/internal/forwarder/evacuations_test.go
+++ b/internal/forwarder/evacuations_test.go
@@ -192,7 +192,7 @@
 	i.finishInitialSync()
 	key := wire.EvacuationPrefix + "laval"
 	i.applyUpdate(directory.Update{Records: []directory.Record{
-		{Key: wire.ServerPrefix + "i-1", Value: []byte(`{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"ready"}`), Revision: 1<<40 + 5},
+		{Key: wire.ServerPrefix + "i-1", Value: []byte(`{"service":"orders","address":"127.0.3.1:80","zone":"laval","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"sequence":1,"born":1}`), Revision: 1<<40 + 5},
 		{Key: key, Value: []byte(`{}`), Revision: 1<<40 + 7},
 	}})
 	if text := lines.buf.String(); strings.Index(text, `"evacuation_begun"`) > strings.Index(text, `"message":"server"`) || !i.evacuation("laval").Active {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -235,7 +235,7 @@
 		t.Run(name, func(t *testing.T) {
 			d, pair, _, open := startRestartedPair(t)
 			living := d.servers["i-2"]
-			d.store.Put(wire.ServerPrefix+test.key, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"laval","slots":2,"state":"ready","sequence":1,"born":%d}`,
+			d.store.Put(wire.ServerPrefix+test.key, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"laval","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d}`,
 				test.service, living.Address(), time.Now().UnixMilli())))
 			for _, i := range pair {
 				d.eventually("entry known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+test.key, test.service) })
@@ -325,13 +325,13 @@
 var oddEntries = map[string]string{
 	"deeply nested":        `{"service":` + strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000) + `}`,
 	"nested, cut off":      strings.Repeat(`{"a":`, 200_000),
-	"number too large":     `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":1e999,"state":"ready","born":9e99,"sequence":-1}`,
-	"integer too large":    `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":99999999999999999999999,"state":"ready"}`,
-	"port out of range":    `{"service":"orders","address":"127.0.3.1:99999","zone":"laval","slots":2,"state":"ready"}`,
-	"port below range":     `{"service":"orders","address":"127.0.3.1:-1","zone":"laval","slots":2,"state":"ready"}`,
+	"number too large":     `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":1e999,"state":"ready","version":"v1","coldLeftMs":0,"born":9e99,"sequence":-1}`,
+	"integer too large":    `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":99999999999999999999999,"state":"ready","version":"v1","coldLeftMs":0,"sequence":1,"born":1700000000000}`,
+	"port out of range":    `{"service":"orders","address":"127.0.3.1:99999","zone":"laval","slots":2,"state":"ready","version":"v1","coldLeftMs":0,"sequence":1,"born":1700000000000}`,
+	"port below range":     `{"service":"orders","address":"127.0.3.1:-1","zone":"laval","slots":2,"state":"ready","version":"v1","coldLeftMs":0,"sequence":1,"born":1700000000000}`,
 	"other types":          `{"service":["orders"],"address":7,"zone":{},"slots":"2","state":null}`,
-	"state not named":      `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"` + strings.Repeat("x", 100_000) + `"}`,
-	"name of 100,000 byte": `{"service":"` + strings.Repeat("s", 100_000) + `","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"ready"}`,
+	"state not named":      `{"service":"orders","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"` + strings.Repeat("x", 100_000) + `","version":"v1","coldLeftMs":0,"sequence":1,"born":1700000000000}`,
+	"name of 100,000 byte": `{"service":"` + strings.Repeat("s", 100_000) + `","address":"127.0.3.1:80","zone":"laval","slots":2,"state":"ready","version":"v1","coldLeftMs":0,"sequence":1,"born":1700000000000}`,
 	"no text":              "\x00\xff\xfe",
 	"no object":            `[1,2,3]`,
 	"nothing":              "",
--- a/test/soak/entries.go
+++ b/test/soak/entries.go
@@ -107,7 +107,7 @@
 	case 1:
 		key = s.key()
 	}
-	d.store.Put(key, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":2,"state":"ready","sequence":1,"born":%d}`, service, s.Address(), s.Domain, time.Now().UnixMilli())))
+	d.store.Put(key, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":2,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d}`, service, s.Address(), s.Domain, time.Now().UnixMilli())))
 	if key != s.key() {
 		time.AfterFunc(d.randomDuration(5000), func() { d.store.Remove(key) })
 	}
@@ -115,8 +115,8 @@
 
 // malformedEntries are values that cannot be read.
 var malformedEntries = []string{
-	`{"service":"orders","address":7}`, `{"service":"orders","address":"127.1.10.1:99999","zone":"d0","slots":2,"state":"ready"}`,
-	`{"service":"orders","address":"127.1.10.1:80","zone":"d0","slots":1e999,"state":"ready"}`, "\xff\x00", "[[[[[[[[",
+	`{"service":"orders","address":7}`, `{"service":"orders","address":"127.1.10.1:99999","zone":"d0","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"sequence":1,"born":1700000000000}`,
+	`{"service":"orders","address":"127.1.10.1:80","zone":"d0","version":"v1","slots":1e999,"state":"ready","coldLeftMs":0,"sequence":1,"born":1700000000000}`, "\xff\x00", "[[[[[[[[",
 }
 
 // writeMalformedEntry writes an entry that cannot be read, under a key of its own or a server's,
