Callers stand-in: send no request that is due after the end of the plan

Cause: the generator stopped when its context had ended. On a busy machine the timer of the context fires some milliseconds late, so a request that was due after the end was still sent and executed. The report covers the plan, and such a request is in none of its windows. Ruled out: lost outcomes, as the outcomes in the report add up to its requests.

Change: the generator ends with the first request that is not due before the deadline of the context.

--- a/internal/standin/callers/callers_test.go
+++ b/internal/standin/callers/callers_test.go
@@ -68,6 +68,34 @@
 	}
 }
 
+// lateContext is a context whose timer fires later than its deadline, as on a busy machine.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// Guards against requests that are due after the end of the plan: they are executed and have an
+// outcome, but no window of the report counts them.
+func TestNoRequestIsDueAfterTheEnd(t *testing.T) {
+	_, s := startServer(t, backendserver.Spec{MeanWorkMS: 1, Slots: 4})
+	const planMS = 500
+	g := newGenerator(Load{
+		Name: "order", Service: "orders", Address: s.Address(), Method: "POST", Path: "/orders/order", Rate: 200,
+		UniquePayload: true, Clients: 4, DeadlineMS: 1000,
+	}, 0, 1)
+	start := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add((planMS+200)*time.Millisecond))
+	defer cancel()
+	if err := g.run(lateContext{ctx, start.Add(planMS * time.Millisecond)}, start); err != nil {
+		t.Fatal(err)
+	}
+	if sent := g.report(0, planMS).Sent; sent == 0 || uint64(len(g.orders)) != sent {
+		t.Fatalf("%d orders, %d requests in the report of the plan", len(g.orders), sent)
+	}
+}
+
 // Guards against stream checks that miss a silent server or count a healthy stream as
 // broken.
 func TestStreamsReportSilence(t *testing.T) {
--- a/internal/standin/callers/load.go
+++ b/internal/standin/callers/load.go
@@ -80,7 +80,7 @@
 	return &generator{load: l, index: index, rng: rand.New(rand.NewPCG(seed, uint64(index)+1)), clients: make([]*flowClient, l.Clients)}
 }
 
-// run sends requests until the context ends, then waits for the responses.
+// run sends the requests that are due before the context ends, then waits for the responses.
 func (g *generator) run(ctx context.Context, start time.Time) error {
 	var requests sync.WaitGroup
 	defer func() {
@@ -91,6 +91,7 @@
 			}
 		}
 	}()
+	end, limited := ctx.Deadline()
 	due := start
 	for n := 0; ; n++ {
 		rate := g.load.rateAt(int(due.Sub(start).Milliseconds()))
@@ -102,6 +103,12 @@
 			continue
 		}
 		due = due.Add(time.Duration(g.rng.ExpFloat64() / rate * float64(time.Second)))
+		if limited && !due.Before(end) {
+			// The timer of the context may fire late on a busy machine. A request that is due
+			// after the end would be in no window of the report.
+			<-ctx.Done()
+			return nil
+		}
 		if !waitUntil(ctx, due) {
 			return nil
 		}
