Refusals, however long they last, do not end a server that may be leaving

After 3 s of refused probes without progress that an instance had seen itself, the instance reset all its flows there, also those with an order that the server ran.

Cause: keepFlows declared a server dead after 3 s of refusals.

Change: only another server's answer, or a refusal of a server that cannot be leaving, is a proof. At one that may be leaving, flows are reset by what clients miss: two retransmissions since the last sign of life, and 500 ms without one (3 s for requests that may not be repeated). An answered probe starts the count of retransmissions again, and a pause of the instance does not count.

Tests: the two properties allowed the 3 s, or let every process end 400 ms after it had stopped listening. They are stricter now: a reset needs repeated packets, a process serves for up to 8 s. The soak's servers serve their flows for up to 5 s after they have stopped listening.

--- a/forwarding/ended.go
+++ b/forwarding/ended.go
@@ -6,12 +6,17 @@
 // that a server's process has ended? Records, their order, removals, listings, restored records and
 // reports of peers are no proof; they only lead to a probe. The proofs are:
 //   - another server answers at the server's address;
-//   - the server's address refuses connections although the server cannot be leaving;
-//   - the address of a server that may be leaving refuses connections, and packets that clients
-//     repeat stay unanswered, or the refusals have lasted for maxLeavingTime.
+//   - the server's address refuses connections although the server cannot be leaving.
+//
+// A server that may be leaving can refuse connections for many seconds while it serves its open flows,
+// so refusals alone prove nothing, however long they last. Its flows are reset only once packets that
+// clients repeat have stayed unanswered for longer than its last requests take.
 const (
-	// maxLeavingTime is how long a server may take for its last requests after it has stopped
-	// listening. Clients give up most requests within this time.
+	// lastRequestTime is how long the last requests of a server that leaves may take, queue included.
+	// It is below the 600 ms after which a client repeats a packet for the second time.
+	lastRequestTime = 500 * time.Millisecond
+	// maxLeavingTime is the same for requests that clients may not repeat. Clients give up most
+	// requests within this time.
 	maxLeavingTime = 3 * time.Second
 	// askAgainInterval is the minimum time between probes that packets of flows at a server that
 	// refuses connections lead to.
@@ -41,35 +46,44 @@
 // serve its open flows.
 func (e *Engine) keepFlows(now time.Duration, s *server) []Action {
 	h := &s.health
+	h.nextProbe = now + downProbeInterval
 	var actions []Action
 	if h.state != refusing {
 		e.setState(s, refusing)
-		h.refusingSince = now
 		actions = e.reportDown(now, s)
 	} else {
 		actions = e.repeatReport(s)
 	}
-	leavingUntil := max(h.refusingSince, h.lastProgress) + maxLeavingTime
-	switch {
-	case e.mayBeElsewhere(now, s):
-	case now >= leavingUntil:
-		return append(actions, e.declareDead(now, s)...)
-	case h.retransmissions >= resetRetransmissions:
-		actions = append(actions, e.resetFlows(now, s, false)...)
+	if e.mayBeElsewhere(now, s) {
+		return actions
 	}
-	h.nextProbe = now + downProbeInterval
-	if !s.listed {
-		h.nextProbe = max(h.nextProbe, leavingUntil)
+	switch unanswered := e.unansweredFor(now, s); {
+	case unanswered >= maxLeavingTime:
+		h.retransmissions = 0 // flows that this instance sees later need evidence of their own
+		return append(actions, e.resetFlows(now, s, true)...)
+	case unanswered >= lastRequestTime:
+		return append(actions, e.resetFlows(now, s, false)...)
 	}
 	return actions
 }
 
+// unansweredFor returns for how long requests that clients have repeated are unanswered, without
+// another sign of life of the server; 0 without such requests. A pause of this process does not count:
+// the packets that show progress may wait to be read, or have gone to other instances.
+func (e *Engine) unansweredFor(now time.Duration, s *server) time.Duration {
+	h := &s.health
+	if s.pendingRequests == 0 || h.retransmissions < resetRetransmissions || now-e.lastTick > maxTickGap {
+		return 0
+	}
+	return now - max(h.lastProgress, h.answeredAt, s.pendingSince, e.runningSince)
+}
+
 // askAgain probes a server that refuses connections when a packet arrives for it. The flows that
 // were known at the last refusal are settled, so a flow at a dead server may be one of a new
 // process that started since.
 func (e *Engine) askAgain(now time.Duration, s *server) []Action {
 	h := &s.health
-	if h.probing || now < h.nextAsk || h.state != dead && (h.state != refusing || h.retransmissions < resetRetransmissions) || !e.mayProbe(s, &s.Server) {
+	if h.probing || now < h.nextAsk || h.state != dead && (h.state != refusing || e.unansweredFor(now, s) < lastRequestTime) || !e.mayProbe(s, &s.Server) {
 		return nil
 	}
 	h.nextAsk = now + askAgainInterval
--- a/forwarding/engine_test.go
+++ b/forwarding/engine_test.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// run executes one command: a word followed by name=value arguments, or by a time for at.
+// run executes one command: a word followed by name=value arguments, or by a time for at and paused_until.
 func (s *script) run(t *testing.T, words []string) {
 	if len(words) == 0 {
 		return
@@ -58,6 +58,8 @@
 	switch words[0] {
 	case "at":
 		s.advance(t, words[1])
+	case "paused_until":
+		s.now = parseTime(t, words[1])
 	case "config":
 		s.configure(t, args)
 	case "server":
@@ -98,16 +100,20 @@
 
 // advance runs the ticks until a time.
 func (s *script) advance(t *testing.T, text string) {
-	to, err := time.ParseDuration(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for s.now < to {
+	for to := parseTime(t, text); s.now < to; {
 		s.now = min(s.now+10*time.Millisecond, to)
 		s.actions(s.e.Tick(s.now))
 	}
 }
 
+func parseTime(t *testing.T, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // flood opens flows from client ports 1001 and up and prints the number of decisions by
 // reason.
 func (s *script) flood(t *testing.T, args map[string]string) {
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -75,7 +75,7 @@
 	wasDown            bool // it was unreachable, refusing or dead since it was last trusted
 	probing            bool
 	replaced           bool          // another server has answered at the server's address
-	retransmissions    int           // client retransmissions since the last progress
+	retransmissions    int           // client retransmissions since the last progress or answered probe
 	unansweredProbes   int           // consecutive unanswered probes
 	lastProgress       time.Duration // last packet that showed progress on any flow
 	nextProbe          time.Duration
@@ -92,7 +92,6 @@
 	askedByPeer        bool          // peers wait for the outcome of a probe
 	reported           bool          // unreachable only by a peer's report
 	reportedUntil      time.Duration // end of that report
-	refusingSince      time.Duration // first of the consecutive refused connections
 	nextAsk            time.Duration // earliest time of the next probe by askAgain
 	deferred           bool          // suspected while the server may not be probed
 }
@@ -229,7 +228,7 @@
 			return nil
 		}
 		e.trustAfterAnswer(now, s)
-		h.settledAnswers = 0
+		h.settledAnswers, h.retransmissions = 0, 0
 		actions := e.tellAlive(s)
 		if outcome == Answered {
 			e.recordAnswer(now, s, r.Elapsed)
--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -17,6 +17,8 @@
 	version           uint64
 	owner             map[FlowKey]uint32 // cookie of the server that the flow was opened at
 	progress          map[uint32]time.Duration
+	repeated          map[uint32]int          // packets that clients have repeated since the server's last sign of life
+	pending           map[FlowKey]struct{}    // flows with an unanswered request
 	probeOutcomes     map[string]ProbeOutcome // last probe outcome of each server
 	confirmedTimeouts map[string]int          // unanswered probes with an answered reference connection
 	servers           map[string]*serverModel
@@ -27,8 +29,6 @@
 // serverModel is what the history knows about a server.
 type serverModel struct {
 	listed, drained bool
-	refusing        bool // the last probes were refused
-	refusingSince   time.Duration
 	ended           bool // it refused a probe while it could not be leaving
 	replaced        bool // another server answered for it, and it has not answered since
 }
@@ -36,7 +36,8 @@
 func newRandomHistory() *randomHistory {
 	w := &randomHistory{
 		servers: make(map[string]*serverModel),
-		owner:   make(map[FlowKey]uint32), progress: make(map[uint32]time.Duration), probeOutcomes: make(map[string]ProbeOutcome), confirmedTimeouts: make(map[string]int),
+		owner:   make(map[FlowKey]uint32), progress: make(map[uint32]time.Duration), repeated: make(map[uint32]int), pending: make(map[FlowKey]struct{}),
+		probeOutcomes: make(map[string]ProbeOutcome), confirmedTimeouts: make(map[string]int),
 	}
 	w.e = New(Config{Domain: "a", CookieLifetime: 2 * time.Minute, MaxFlows: 200, Seed: 7, RecordsCurrent: func() bool { return !w.recordsOutdated }})
 	for n := range 6 {
@@ -68,7 +69,7 @@
 	}
 	m := w.servers[serverName(n)]
 	if !m.listed {
-		m.refusing, m.ended, m.replaced = false, false, false
+		m.ended, m.replaced = false, false
 		delete(w.probeOutcomes, serverName(n))
 	}
 	m.listed, m.drained = true, m.drained || draining
@@ -92,7 +93,7 @@
 }
 
 func (w *randomHistory) step(t *rapid.T) {
-	w.now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+	w.advance(t, time.Duration(rapid.IntRange(0, 120).Draw(t, "ms"))*time.Millisecond)
 	if rapid.IntRange(0, 20).Draw(t, "pause") == 0 {
 		w.now += 5 * time.Second
 	}
@@ -113,7 +114,7 @@
 	case 2:
 		outcome := ProbeOutcome(rapid.IntRange(0, 4).Draw(t, "outcome"))
 		w.probeOutcomes[serverName(n)] = outcome
-		w.recordProbe(serverName(n), outcome)
+		w.recordProbe(n, outcome)
 		reference := ReferenceOutcome(rapid.IntRange(0, 2).Draw(t, "reference"))
 		switch {
 		case outcome == ConnectTimeout && reference == ReferenceAnswered:
@@ -127,15 +128,27 @@
 	case 4, 5:
 		w.open(t, key)
 	case 6:
-		if w.recordsOutdated {
-			w.outdatedAt = w.now
-		}
-		w.checkActions(t, w.e.Tick(w.now))
+		w.tick(t)
 	default:
 		w.data(t, key)
 	}
 }
 
+// advance lets time pass with ticks.
+func (w *randomHistory) advance(t *rapid.T, d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += min(50*time.Millisecond, end-w.now)
+		w.tick(t)
+	}
+}
+
+func (w *randomHistory) tick(t *rapid.T) {
+	if w.recordsOutdated {
+		w.outdatedAt = w.now
+	}
+	w.checkActions(t, w.e.Tick(w.now))
+}
+
 func (w *randomHistory) incarnation(n int) uint32 {
 	if s := w.e.servers[serverName(n)]; s != nil {
 		return s.incarnation
@@ -143,18 +156,18 @@
 	return 0
 }
 
-func (w *randomHistory) recordProbe(name string, outcome ProbeOutcome) {
-	m := w.servers[name]
+func (w *randomHistory) recordProbe(n int, outcome ProbeOutcome) {
+	m := w.servers[serverName(n)]
 	switch {
 	case outcome == Answered || outcome == NoValidAnswer:
-		m.refusing, m.ended = false, false
+		if outcome == Answered {
+			w.repeated[uint32(n+1)] = 0
+		}
+		m.ended = false
 		m.replaced = m.replaced && outcome == NoValidAnswer
 	case outcome == OtherServer:
 		m.replaced = true
 	case outcome == Refused:
-		if !m.refusing {
-			m.refusing, m.refusingSince = true, w.now
-		}
 		m.ended = m.ended || m.listed && !m.drained && w.now-w.outdatedAt >= claimLifetime
 	}
 }
@@ -164,6 +177,9 @@
 		return
 	}
 	d, actions := w.e.Packet(w.now, Packet{Flow: key, Open: true}, []byte("syn"))
+	if d.Reason == ByFlow {
+		w.repeated[d.Target.Cookie]++
+	}
 	w.checkActions(t, actions)
 	if d.Verdict != Forward || rapid.IntRange(0, 3).Draw(t, "answered") == 0 {
 		return
@@ -189,13 +205,19 @@
 		p.Sequence, p.Acknowledgement = f.seq, f.ack
 		if rapid.Bool().Draw(t, "repeat") && f.seq > 10 {
 			p.Sequence -= 10
+			w.repeated[cookie]++
 		}
 		if rapid.Bool().Draw(t, "answer") {
 			p.Acknowledgement += 1500
 			p.Length = 0
-			w.progress[cookie] = w.now
+			w.progress[cookie], w.repeated[cookie] = w.now, 0
 		}
 	}
+	if p.Length > 0 {
+		w.pending[key] = struct{}{}
+	} else {
+		delete(w.pending, key)
+	}
 	w.packet(t, key, p)
 }
 
@@ -221,16 +243,22 @@
 }
 
 // checkReset fails unless the flow's server refused a connection while it could not be leaving,
-// went on refusing without any sign of life, another server has its address, or it has left enough
-// probes unanswered for long enough.
+// refuses connections and leaves packets that clients repeat unanswered, another server has its
+// address, or it has left enough probes unanswered for long enough.
 func (w *randomHistory) checkReset(t *rapid.T, key FlowKey) {
 	cookie := w.owner[key]
+	_, pending := w.pending[key]
 	delete(w.owner, key)
+	delete(w.pending, key)
 	s := w.e.byCookie[cookie][0]
 	outcome, probed := w.probeOutcomes[s.Name]
 	noProgressFor := w.now - w.progress[cookie]
+	lastRequest := lastRequestTime
+	if pending && key.ServicePort == 80 {
+		lastRequest = maxLeavingTime
+	}
 	if m := w.servers[s.Name]; m.ended || m.replaced || probed && outcome == Refused &&
-		(s.health.retransmissions >= resetRetransmissions || min(noProgressFor, w.now-m.refusingSince) >= maxLeavingTime) {
+		w.repeated[cookie] >= resetRetransmissions && noProgressFor >= lastRequest {
 		return
 	}
 	// The first unanswered probe may be confirmed by other servers' answers.
--- a/forwarding/settle.go
+++ b/forwarding/settle.go
@@ -124,7 +124,7 @@
 	switch {
 	case h.probing || now < h.nextProbe:
 		return nil
-	case !s.listed && (h.state != refusing || s.flows == 0):
+	case !s.listed && (h.state != refusing || e.unansweredFor(now, s) < maxLeavingTime):
 		return nil
 	case !e.mayProbe(s, &s.Server): // its state stays as it is
 		return nil
--- a/forwarding/truth_test.go
+++ b/forwarding/truth_test.go
@@ -17,6 +17,7 @@
 	listening bool
 	alive     bool
 	drainedAt time.Duration // 0 if it is not draining
+	servesFor time.Duration // after it has stopped listening
 }
 
 // world is one engine, the processes that really run, and a store that executes writes late.
@@ -281,8 +282,8 @@
 		for _, p := range w.processes {
 			switch left := w.now - p.drainedAt - worldDrainBound; {
 			case !p.alive || p.drainedAt == 0 || left < 0:
-			case left < 400*time.Millisecond:
-				p.listening = false // it works on its last requests
+			case left < p.servesFor:
+				p.listening = false // it serves its open flows
 			default:
 				p.alive = false
 			}
@@ -303,6 +304,7 @@
 	case 2:
 		if p != nil && p.drainedAt == 0 {
 			p.drainedAt = w.now
+			p.servesFor = time.Duration(rapid.SampledFrom([]int{400, 4000, 8000}).Draw(t, "serves for")) * time.Millisecond
 			p.record.Draining = true
 			w.write(t, p)
 		}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -158,7 +158,7 @@
 		}()
 		time.Sleep(60 * time.Millisecond)
 		left := make(chan struct{})
-		go func() { leaving.Leave(); close(left) }()
+		go func() { leaving.Leave(0); close(left) }()
 		d.store.Remove(wire.ServerPrefix + "i-2")
 		if err := <-answer; err != nil {
 			t.Fatalf("the last request at a leaving server: %v", err)
@@ -177,6 +177,35 @@
 	}
 }
 
+// Guards against resets of flows, idle or at work, at a server that serves them for many seconds
+// after it has stopped listening, and whose record is gone.
+func TestServerServesItsFlowsForLongAfterItStoppedListening(t *testing.T) {
+	d, a, b := startPair(t)
+	leaving := d.startServer("i-2", "orders", "laval", 2)
+	openAt := func(i *instance) *flows.Flow {
+		for {
+			if f := d.openFlow(i); f.Cookie() == 2 {
+				return f
+			}
+		}
+	}
+	busy, idle := openAt(a), map[*instance]*flows.Flow{a: openAt(a), b: openAt(b)}
+	leaving.SetWork(180 * time.Millisecond) // longer than an instance waits until it probes
+	d.store.Put(wire.ServerPrefix+"i-2", leaving.Record("draining"))
+	for _, i := range []*instance{a, b} {
+		d.eventually("drain known", configurationBound, func() bool { return i.hasRecord(wire.ServerPrefix+"i-2", "draining") })
+	}
+	leaving.StopAnswering()
+	d.request(busy, a, "i-2:x")
+	d.store.Remove(wire.ServerPrefix + "i-2")
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(time.Second) {
+		d.request(busy, a, "i-2:x")
+	}
+	for i, f := range idle {
+		d.request(f, i, "i-2:x")
+	}
+}
+
 // startRestartedPair starts a pair whose server i-1 has ended and is followed by i-2 at its address. It
 // returns a record that i-1 wrote, and open flows at i-2.
 func startRestartedPair(t *testing.T) (d *deployment, pair [2]*instance, record []byte, open []*flows.Flow) {
--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -92,10 +92,12 @@
 	s.work = d
 }
 
-// Leave ends the server as a planned shutdown does: it stops listening for connections, answers the
-// requests that are at work, and returns after the sockets are closed.
-func (s *Server) Leave() {
+// Leave ends the server as a planned shutdown does: it stops listening for connections, goes on
+// serving its flows for the given time, answers the requests that are at work then, and returns after
+// the sockets are closed.
+func (s *Server) Leave(servesFor time.Duration) {
 	s.health.Close()
+	time.Sleep(servesFor)
 	for {
 		s.mu.Lock()
 		idle := s.atWork == 0
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -246,9 +246,14 @@
 	s.Stop()
 }
 
-// leave ends a draining server, which answers its last requests first.
+// leavingServeTime is how long servers that leave serve their flows after they have stopped listening,
+// by the last digit of their address.
+var leavingServeTime = []time.Duration{0, 2500 * time.Millisecond, 5 * time.Second}
+
+// leave ends a draining server, which serves its flows for some time first.
 func (s *server) leave() {
-	s.Leave()
+	b := s.Address().Addr().As4()
+	s.Leave(leavingServeTime[int(b[3])%len(leavingServeTime)])
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stoppedAt = time.Now()
