A server's process may be where any record under its key says it is

Cause: a record of another writer with a later start stood under its key. Either it was in force, so that the claim to the new address was asked without a health path and counted as earlier, or it was held back, so that the process's own record was ignored.

Change: a claim is asked at the health path of its own service; while a claim names another address, and for 4 s after any held record did, nothing that happens at the earlier address resets flows.

TestProcessElsewhereKeepsItsFlows and TestMoveHiddenByAnotherWritersRecord failed before.

--- a/forwarding/claims.go
+++ b/forwarding/claims.go
@@ -47,6 +47,9 @@
 // claims, the one that was written last is kept, and the first one's time counts.
 func (e *Engine) holdClaim(now time.Duration, s *server, in Server) []Action {
 	s.Revision = in.Revision
+	if in.Address != s.Address {
+		s.namedElsewhereAt = now
+	}
 	if in.Draining {
 		s.leaving = true
 		s.Draining = s.Draining || in.StartedAt == s.StartedAt
@@ -72,7 +75,7 @@
 	s.claim.nextAsk = now + downProbeInterval
 	t := s.target()
 	t.Address = s.claim.Address
-	return []Action{{Kind: Probe, Target: t, Server: s.Name, Path: e.healthPath(s), Incarnation: s.incarnation}}
+	return []Action{{Kind: Probe, Target: t, Server: s.Name, Path: e.healthPathAt(e.service(s.claim.Service), t.Address), Incarnation: s.incarnation}}
 }
 
 // settleClaims applies the claims that no later record has replaced in time. A claim to another
@@ -164,19 +167,25 @@
 // after a time.
 func (s *server) changedSince(t time.Duration) bool { return max(s.startedAt, s.answeredAt) > t }
 
-// mayBeElsewhere reports whether the server's record may be a late write that names the address of
-// an earlier process, while its present process is at an unknown address.
+// mayBeElsewhere reports whether the server's present process may be at another address than that
+// of its record: at one that a record under its key has named, whether or not that record is the claim
+// that is kept, or at an unknown one, if the record in force may be a late write that names the address
+// of an earlier process.
 func (e *Engine) mayBeElsewhere(now time.Duration, s *server) bool {
-	return s.answeredAt == 0 && now-s.addressSince < claimLifetime
+	return s.claimsElsewhere() || s.namedElsewhereAt > 0 && now-s.namedElsewhereAt < claimLifetime ||
+		s.answeredAt == 0 && now-s.addressSince < claimLifetime
 }
 
-// healthPath returns the path at which the server's address says who it is. The record of another
-// writer may name a service without one; then a server that may have the address tells it.
-func (e *Engine) healthPath(s *server) string {
-	if s.service.healthPath != "" {
-		return s.service.healthPath
+// healthPath returns the path at which the server's address says who it is.
+func (e *Engine) healthPath(s *server) string { return e.healthPathAt(s.service, s.Address) }
+
+// healthPathAt returns the path at which a server of a service at an address says who it is. The record of
+// another writer may name a service without one; then a server that may have the address tells it.
+func (e *Engine) healthPathAt(svc *service, at netip.AddrPort) string {
+	if svc.healthPath != "" {
+		return svc.healthPath
 	}
-	for _, o := range e.byAddress[s.Address] {
+	for _, o := range e.byAddress[at] {
 		if o.service.healthPath != "" {
 			return o.service.healthPath
 		}
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -82,6 +82,7 @@
 	addressSince     time.Duration // when the record with its address was applied
 	startedAt        time.Duration // when the first record of its process, or after a removal, was applied
 	claim            *claim        // a record that is not applied yet
+	namedElsewhereAt time.Duration // when a record under its key that named another address was held back
 	incarnation      uint32        // restarts that this instance knows of
 	shadowed         bool          // another server with the same cookie has a lower ID
 	removedAt        time.Duration
