Log violated invariants of the scheduler, and show them in process tests

The scheduler's violations were only counted (monsoonthread_dispatch_violations), so a failed process test did not say which invariant was violated. They are now recorded and logged as the daemon's own (invariant_violated), and checkInvariants quotes these lines.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,6 +191,8 @@
 }
 
 func (d *Daemon) start(ctx context.Context, serve func()) {
+	// The scheduler counts its violations itself.
+	dispatch.Violations.SetHook(func(name, server string) { d.reportViolation(name, "server "+server) })
 	d.spawn(serve)
 	for range d.settings.Workers {
 		d.spawn(func() { d.processDatagrams(ctx) })
@@ -241,6 +243,11 @@
 // violation reports a violated invariant. Tests fail when the counter is not zero.
 func (d *Daemon) violation(name, detail string) {
 	d.metrics.violations.Inc()
+	d.reportViolation(name, detail)
+}
+
+// reportViolation records a timeline event of a violated invariant and logs it.
+func (d *Daemon) reportViolation(name, detail string) {
 	d.events.Record("invariant_violated", timeline.Field{Key: "invariant", Value: name})
 	d.log.Error().Str("invariant", name).Str("detail", detail).Msg("invariant_violated")
 }
--- a/test/lab/cluster/process.go
+++ b/test/lab/cluster/process.go
@@ -143,6 +143,21 @@
 	return string(b[max(0, len(b)-maxLogTailBytes):])
 }
 
+// LogLines returns the lines of the log that contain a text.
+func (p *Process) LogLines(text string) string {
+	b, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	var lines strings.Builder
+	for line := range strings.Lines(string(b)) {
+		if strings.Contains(line, text) {
+			lines.WriteString(line)
+		}
+	}
+	return lines.String()
+}
+
 // FirstLine waits for the first line of standard output.
 func (p *Process) FirstLine(ctx context.Context) (string, error) {
 	select {
--- a/test/process/lab_test.go
+++ b/test/process/lab_test.go
@@ -249,7 +249,7 @@
 	for _, in := range d.Instances() {
 		for _, name := range []string{"monsoonthread_invariant_violations_total", "monsoonthread_dispatch_violations"} {
 			if v, err := d.metric(in, name); err != nil || v > 0 {
-				d.Errorf("metric %s of %s is %v, want 0 (error: %v)", name, in.ID, v, err)
+				d.Errorf("metric %s of %s is %v, want 0 (error: %v)\n%s", name, in.ID, v, err, in.LogLines("invariant_violated"))
 			}
 		}
 	}
