A pause of the process is no unfinished grant

Cause: releaseUnfinished reports a grant whose Finish is missing 1 s after its deadline. After a pause that is longer, the first Tick may come before the Finish calls that waited for the end of the pause. Ruled out: a slot that is granted twice; the violation is not running_exceeds_slots, and the executions agree with the outcomes.

Change: the time for Finish counts from the end of the last pause.

TestPauseLeavesNoUnfinishedGrant failed before (a violation at the first tick after the pause); it also checks that a request that is never finished is still reported.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -50,6 +50,8 @@
 	// unfinishedGrantGrace is how long after the deadline Finish may still be missing
 	// before it counts as a violation.
 	unfinishedGrantGrace = time.Second
+	// maxTickGap is the time between two ticks above which the process counts as paused.
+	maxTickGap = 100 * time.Millisecond
 	// deadInstanceRetention is how long the failure of an instance is remembered, so that
 	// the quarantine of a server assigned later starts at the failure. The view that
 	// assigns the server to its successor follows within one suspicion timeout.
@@ -162,6 +164,8 @@
 	fenced        bool
 	lastRecount   time.Time
 	sweepIndex    int
+	lastTick      time.Time
+	runningSince  time.Time // time of the first tick after the last pause of the process
 }
 
 // NewScheduler returns a scheduler without servers.
@@ -177,6 +181,7 @@
 		servers:       make(map[string]*server),
 		drainNotices:  make(map[string]backend.NoticeSource),
 		deadInstances: make(map[string]time.Time),
+		lastTick:      now,
 	}
 }
 
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -460,6 +460,32 @@
 	}
 }
 
+// Guards against a violation that is reported because the process was paused for longer than requests
+// may take: the first tick after the pause comes before the outcomes that waited for its end.
+func TestPauseLeavesNoUnfinishedGrant(t *testing.T) {
+	var seen []string
+	Violations.SetHook(func(name, _ string) { seen = append(seen, name) })
+	defer Violations.SetHook(func(name, server string) { panic("invariant violated: " + name + " " + server) })
+	f := newFixture(t, 100, 100)
+	f.submit(1, time.Second)
+	f.submit(2, time.Second)
+	f.tick(100 * time.Millisecond)
+	f.now = f.now.Add(5 * time.Second)
+	f.s.Tick(f.now)
+	if len(seen) != 0 {
+		t.Fatalf("violations %v at the first tick after the pause", seen)
+	}
+	f.finish(1, backend.Timeout, 0)
+	f.tick(unfinishedGrantGrace - 10*time.Millisecond)
+	if len(seen) != 0 || f.s.Running() != 1 {
+		t.Errorf("violations %v, %d running, want the second request within %v after the pause", seen, f.s.Running(), unfinishedGrantGrace)
+	}
+	f.tick(10 * time.Millisecond)
+	if !slices.Equal(seen, []string{ViolationUnfinished}) || f.s.Running() != 0 {
+		t.Errorf("violations %v, %d running after the pause, want one of the request that is never finished", seen, f.s.Running())
+	}
+}
+
 // Guards against a Run that is never finished and not reported as a violation.
 func TestUnfinishedGrantIsReported(t *testing.T) {
 	var seen []string
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -38,6 +38,10 @@
 // Tick performs all time-driven work. It must be called every 10 ms.
 func (s *Scheduler) Tick(now time.Time) []Action {
 	var out []Action
+	if now.Sub(s.lastTick) > maxTickGap {
+		s.runningSince = now
+	}
+	s.lastTick = now
 	out = s.releaseAbandoned(out, now)
 	out = s.releaseUnfinished(out, now)
 	out = s.advanceTakeovers(out, now)
@@ -76,10 +80,14 @@
 	return out
 }
 
-// releaseUnfinished frees the slots of grants that were not finished in time. Each call
-// checks only some entries of the grant table.
+// releaseUnfinished frees the slots of grants that were not finished in time. After a pause of the
+// process, the first Tick may come before the Finish calls that waited for its end, so that the
+// time counts from the end of the pause. Each call checks only some entries of the grant table.
 func (s *Scheduler) releaseUnfinished(out []Action, now time.Time) []Action {
 	const maxGrantsPerSweep = 64
+	if now.Sub(s.runningSince) < unfinishedGrantGrace {
+		return out
+	}
 	for n := 0; n < min(maxGrantsPerSweep, len(s.grants)); n++ {
 		s.sweepIndex = (s.sweepIndex + 1) % len(s.grants)
 		g := &s.grants[s.sweepIndex]
