An earlier answer does not answer a renewed registration

Cause, from a trace of the states that owners send: at load, a registration is sent again after 200 ms and answered twice. Answers were matched by token and address only. The registration that renews has the token of the first one, so the second copy of the first answer, which is old, counted for it. Ruled out: two owners during a handover; a count of states that starts too late.

Change: an acknowledgement answers the message with its ID; other messages with the token of an observation that is being renewed are notifications until the registration is acknowledged.

TestEarlierMessagesDoNotAnswerARenewedRegistration failed before.

--- a/internal/daemon/backendclient.go
+++ b/internal/daemon/backendclient.go
@@ -47,12 +47,26 @@
 	resendUntil time.Time
 	delay       time.Duration
 	acked       bool
-	timer       *time.Timer
+	// renews is set for the registration of an observation that exists, whose notifications have the
+	// same token.
+	renews bool
+	timer  *time.Timer
 	// end is called once, with the answer or with nil if none arrived before the
 	// deadline.
 	end func(answer *edge.Message)
 }
 
+// isAnsweredBy reports whether a message with the token of the exchange answers it. An acknowledgement
+// belongs to the message with its ID: a retransmitted registration is answered twice, and the second
+// answer must not count for the registration that renews the observation. Other messages may be notifications
+// of the observation, sent before such a registration, until that is acknowledged.
+func (x *backendExchange) isAnsweredBy(m *edge.Message) bool {
+	if m.Type == edge.Acknowledgement {
+		return m.ID == x.id
+	}
+	return !x.renews || x.acked
+}
+
 // observation maps a backend server's notifications to a stream.
 type observation struct {
 	stream *stream
@@ -331,6 +345,7 @@
 	now := time.Now()
 	x := &backendExchange{server: server, token: token, deadline: now.Add(registrationTimeout), resendUntil: now.Add(registrationTimeout), end: end}
 	b.mu.Lock()
+	x.renews = b.observations[token] != nil
 	b.observations[token] = &observation{stream: st, server: server.Name, addr: server.Address}
 	b.mu.Unlock()
 	m.SetObserve(0)
--- a/internal/daemon/backendreceive.go
+++ b/internal/daemon/backendreceive.go
@@ -43,7 +43,7 @@
 	token := binary.BigEndian.Uint64(m.Token)
 	b.mu.Lock()
 	x := b.byToken[token]
-	if x != nil && x.server.Address != from {
+	if x != nil && (x.server.Address != from || !x.isAnsweredBy(m)) {
 		x = nil
 	}
 	if x != nil {
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -289,6 +292,63 @@
 	}
 }
 
+// Guards against a stream that shows an older state after a newer one: the answer to the renewed
+// registration was told by its token only, so that the second answer to a retransmitted earlier one, or a
+// notification sent before, counted for it.
+func TestEarlierMessagesDoNotAnswerARenewedRegistration(t *testing.T) {
+	d := newDeployment(t)
+	d.start("entry-0", "laval", 100)
+	d.waitReady()
+	in := d.instances["entry-0"]
+	silent, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	server := config.BackendServer{Name: d.config.Services[0].BackendServers[0].Name, Address: silent.LocalAddr().(*net.UDPAddr).AddrPort()}
+	token := in.backends.reserveToken()
+	var answers []*edge.Message
+	observe := func() *backendExchange {
+		t.Helper()
+		m := &edge.Message{Code: edge.GET}
+		if !in.backends.observe(&stream{}, server, m, token, func(m *edge.Message) { answers = append(answers, m) }) {
+			t.Fatal("no message ID is free")
+		}
+		in.backends.mu.Lock()
+		defer in.backends.mu.Unlock()
+		return in.backends.byToken[token]
+	}
+	message := func(kind edge.Type, id uint16, sequence uint32) *edge.Message {
+		m := &edge.Message{Type: kind, Code: edge.Content, ID: id, Token: binary.BigEndian.AppendUint64(nil, token)}
+		m.SetObserve(sequence)
+		return m
+	}
+	receive := func(x *backendExchange, m *edge.Message) { in.backends.received(x.socket, server.Address, m) }
+
+	first := observe()
+	receive(first, message(edge.Acknowledgement, first.id, 1))
+	if len(answers) != 1 {
+		t.Fatalf("%d answers to the first registration", len(answers))
+	}
+	renewed := observe()
+	receive(first, message(edge.Acknowledgement, first.id, 1))
+	receive(first, message(edge.NonConfirmable, first.id+100, 2))
+	if len(answers) != 1 {
+		t.Fatalf("the renewed registration is answered by %+v", answers[1])
+	}
+	receive(renewed, message(edge.Acknowledgement, renewed.id, 3))
+	if len(answers) != 2 {
+		t.Fatalf("%d answers, want that of the renewed registration too", len(answers))
+	}
+	// A separate answer follows the empty acknowledgement.
+	renewed = observe()
+	receive(renewed, edge.NewEmptyMessage(edge.Acknowledgement, renewed.id))
+	receive(renewed, message(edge.Confirmable, renewed.id+100, 4))
+	if len(answers) != 3 {
+		t.Fatalf("%d answers, want the separate one too", len(answers))
+	}
+}
+
 // Guards against streams of unreachable callers that occupy connections of backend
 // servers forever. This happened when each new notification restarted the
 // retransmission timeout.
