--- a/forwarding/ended.go
+++ b/forwarding/ended.go
@@ -43,7 +43,7 @@
 }
 
 // keepFlows keeps new flows away from a server that is not at its address any more, but may still
-// serve its open flows.
+// serve its open flows. These are reset once what their clients miss shows that nobody serves them.
 func (e *Engine) keepFlows(now time.Duration, s *server) []Action {
 	h := &s.health
 	h.nextProbe = now + downProbeInterval
