TestRandomHistories counts repeated packets as strictly as the engine

The model also counted repeats of answered requests, and kept its count after a probe without a valid answer, so that it allowed a little more than before.

Script leaving_server: one repeated packet resets no flow. It fails with a limit of one retransmission, which the property does not notice in 5,000 checks.

--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -160,7 +160,7 @@
 	m := w.servers[serverName(n)]
 	switch {
 	case outcome == Answered || outcome == NoValidAnswer:
-		if outcome == Answered {
+		if outcome == Answered || !m.replaced {
 			w.repeated[uint32(n+1)] = 0
 		}
 		m.ended = false
@@ -205,7 +205,9 @@
 		p.Sequence, p.Acknowledgement = f.seq, f.ack
 		if rapid.Bool().Draw(t, "repeat") && f.seq > 10 {
 			p.Sequence -= 10
-			w.repeated[cookie]++
+			if _, pending := w.pending[key]; pending {
+				w.repeated[cookie]++
+			}
 		}
 		if rapid.Bool().Draw(t, "answer") {
 			p.Acknowledgement += 1500
