claims_test: put records with the script's own command

The assertions are as they were; TestMoveHiddenByAnotherWritersRecord fails without namedElsewhereAt as before.

--- a/forwarding/claims_test.go
+++ b/forwarding/claims_test.go
@@ -11,13 +11,9 @@
 // instance that starts takes such a record for the server's.
 func TestProcessElsewhereKeepsItsFlows(t *testing.T) {
 	s := newScript()
-	record := func(args ...string) {
-		t.Helper()
-		s.run(t, append([]string{"server"}, args...))
-	}
 	s.run(t, []string{"config", "version=1", "route=443:idempotent:orders"})
-	record("id=2", "host=2", "service=agent", "started=1000000") // the other writer's
-	record("id=2", "host=2", "started=100")                      // the server's own, held back
+	s.run(t, []string{"server", "id=2", "host=2", "service=agent", "started=1000000"}) // the other writer's
+	s.run(t, []string{"server", "id=2", "host=2", "started=100"})                      // the server's own, held back
 	s.run(t, []string{"at", "1s"})
 	// A flow that another instance has opened at the process that restarts at host 1.
 	flow := Packet{Flow: FlowKey{Client: 7, ClientPort: 1, Service: 10, ServicePort: 443}, Cookie: 2, Acknowledges: true, Sequence: 1, Acknowledgement: 1}
@@ -31,7 +27,7 @@
 	}
 
 	// A server of its own starts at host 2 and answers before host 1 does.
-	record("id=3", "host=2", "started=300")
+	s.run(t, []string{"server", "id=3", "host=2", "started=300"})
 	s.run(t, []string{"at", "10s"})
 	actions = s.e.ApplyProbeResult(s.now, "3", ProbeResult{Outcome: Answered, Elapsed: time.Millisecond, Answerer: "3"})
 	if slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == SendReset }) {
@@ -47,17 +43,13 @@
 // process's own record at the new address, so that only the former is kept as a claim.
 func TestMoveHiddenByAnotherWritersRecord(t *testing.T) {
 	s := newScript()
-	server := func(args map[string]string) []Action {
-		s.rev++
-		return s.e.PutServer(s.now, s.server(t, args))
-	}
 	s.run(t, []string{"config", "version=1", "route=443:idempotent:orders"})
-	server(map[string]string{"id": "2", "host": "2", "started": "100"})
+	s.run(t, []string{"server", "id=2", "host=2", "started=100"})
 	s.run(t, []string{"at", "10s"})
 	flow := Packet{Flow: FlowKey{Client: 7, ClientPort: 1, Service: 10, ServicePort: 443}, Cookie: 2, Acknowledges: true, Sequence: 1, Acknowledgement: 1}
 	s.e.Packet(s.now, flow, nil) // opened through another instance at the process that is at host 3
-	server(map[string]string{"id": "2", "host": "2", "service": "agent", "started": "1000000"})
-	server(map[string]string{"id": "2", "host": "3", "started": "200"})
+	s.run(t, []string{"server", "id=2", "host=2", "service=agent", "started=1000000"})
+	s.run(t, []string{"server", "id=2", "host=3", "started=200"})
 	for _, r := range []ProbeResult{{Outcome: Refused}, {Outcome: OtherServer, Answerer: "4"}} {
 		r.Elapsed = time.Millisecond
 		actions := s.e.ApplyProbeResult(s.now, "2", r)
