--- a/review/standins3/backend.go
+++ b/review/standins3/backend.go
@@ -47,13 +47,13 @@
 	state     string
 	listening bool // accepts opening packets and connections
 	sequence  uint64
-	written   string // the entry as last written, without its sequence
+	written   string    // the entry as last written, without its sequence
+	beatAt    time.Time // last heartbeat
 	ran       []runRequest
 	received  []receivedPacket
 	openings  []opening
 	resets    []netip.AddrPort // clients to which it has sent a reset
 	closed    bool
-	cutOff    bool // the store does not answer its calls
 }
 
 type backendFlow struct {
@@ -145,10 +145,11 @@
 func (b *backend) write() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || b.cutOff {
+	if b.closed {
 		return
 	}
 	b.sequence++
+	b.beatAt = time.Now()
 	entry := map[string]any{"service": b.service, "address": b.address.String(), "zone": b.domain, "version": "v1", "slots": slots, "state": b.state, "coldLeftMs": 0, "born": b.born}
 	plain, _ := json.Marshal(entry)
 	entry["sequence"] = b.sequence
@@ -179,11 +180,18 @@
 	return string(x) == string(y)
 }
 
-// setCutOff sets whether the store answers the server's calls.
-func (b *backend) setCutOff(cutOff bool) {
+// awaitHeartbeat returns after the server's next heartbeat.
+func (b *backend) awaitHeartbeat() {
+	last := b.lastHeartbeat()
+	for b.lastHeartbeat().Equal(last) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (b *backend) lastHeartbeat() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cutOff = cutOff
+	return b.beatAt
 }
 
 // drain reports that the server is draining.
--- a/review/standins3/cases.go
+++ b/review/standins3/cases.go
@@ -1,16 +1,12 @@
 package main
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/monsoonthread/monsoonthread/internal/standin/metastore"
 )
 
 // inForceTime is longer than a change needs to be in force everywhere.
@@ -138,17 +134,6 @@
 	return holders, busiest, nil
 }
 
-// held returns the number of flows that a server holds.
-func held(holders map[*clientFlow]*backend, server *backend) int {
-	n := 0
-	for _, b := range holders {
-		if b == server {
-			n++
-		}
-	}
-	return n
-}
-
 // resets returns the flows that were reset while the server that held them lived, and not by it.
 func resets(holders map[*clientFlow]*backend) []string {
 	var out []string
@@ -161,13 +146,17 @@
 	return out
 }
 
-// writeForeign writes, as another writer, an entry of a service that no configuration names under the key
-// of a server. It names the address of other.
-func (d *deployment) writeForeign(of, other *backend) {
-	value, _ := json.Marshal(map[string]any{"service": other.service, "address": other.address.String(), "zone": other.domain, "version": "v1", "slots": 2, "state": "ready",
-		"coldLeftMs": 0, "sequence": 1, "born": time.Now().UnixMilli()})
-	d.store.Put(serverPrefix+of.id, value)
-	d.log.printf("another writer: %s = %s", serverPrefix+of.id, value)
+// foreignEntry returns an entry that names a server, as another writer would write it.
+func foreignEntry(of *backend) map[string]any {
+	return map[string]any{"service": of.service, "address": of.address.String(), "zone": of.domain, "version": "v1", "slots": 2, "state": "ready",
+		"coldLeftMs": 0, "sequence": 1, "born": time.Now().UnixMilli()}
+}
+
+// writeForeign writes, as another writer, an entry under the key of a server.
+func (d *deployment) writeForeign(under *backend, entry map[string]any) {
+	value, _ := json.Marshal(entry)
+	d.store.Put(serverPrefix+under.id, value)
+	d.log.printf("another writer: %s = %s", serverPrefix+under.id, value)
 }
 
 // playForeignClaim: another writer writes an entry of an unnamed service under the key of a server. Later,
@@ -190,7 +179,7 @@
 		return nil, err
 	}
 	if trouble {
-		d.writeForeign(leaving, other)
+		d.writeForeign(leaving, foreignEntry(other))
 	}
 	time.Sleep(inForceTime)
 
@@ -218,16 +207,16 @@
 const longRequest = 200 * time.Millisecond
 
 const (
-	outageTime   = 4500 * time.Millisecond
-	lapseTime    = 3 * heartbeatInterval
 	stableWindow = 4 * time.Second
-	returnTime   = 2 * time.Second // in which the entries that lapsed in an outage are back
+	// The other writer's entries follow a heartbeat of the server after firstEntryAfter and
+	// secondEntryAfter, both before its next one.
+	firstEntryAfter  = 100 * time.Millisecond
+	secondEntryAfter = 600 * time.Millisecond
 )
 
-// playForeignLapse: the store is down for some seconds, and the servers' entries lapse meanwhile. When it is
-// back, another writer writes an entry of an unnamed service under the free key of a server, before that
-// server writes its own entry again.
-func playForeignLapse(d *deployment, trouble bool) ([]string, error) {
+// playForeignPair: another writer writes an entry that lacks a field under the key of a server, and half a
+// second later one of an unnamed service with all fields.
+func playForeignPair(d *deployment, trouble bool) ([]string, error) {
 	if err := startSmall(d); err != nil {
 		return nil, err
 	}
@@ -240,56 +229,26 @@
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(d.backends, func(a, b *backend) int { return cmp.Compare(held(holders, a), held(holders, b)) }) // the named one is back last
-	named = d.backends[len(d.backends)-1]
-	other, err := startBackend(d.log, d.store, "i-00c0ffee", "reports", "zc", netip.AddrPortFrom(d.address(3, 200), serverPort)) // of a service that no configuration names
+	other, err := d.startBackend("reports", "zc") // of a service that no configuration names
 	if err != nil {
 		return nil, err
 	}
-	defer func() { other.end(false) }()
-	switch {
-	case trouble:
-		d.storeOutage(func() { d.writeForeign(named, other) })
-	case os.Getenv("OUTAGE") == "1": // shows the outage alone
-		d.storeOutage(func() {})
-	}
-	time.Sleep(stableWindow + time.Second)
+	named.awaitHeartbeat()
+	beat := named.lastHeartbeat()
+	if trouble {
+		time.Sleep(time.Until(beat.Add(firstEntryAfter)))
+		entry := foreignEntry(other)
+		delete(entry, "version")
+		d.writeForeign(named, entry)
+		time.Sleep(time.Until(beat.Add(secondEntryAfter)))
+		d.writeForeign(named, foreignEntry(other))
+	}
+	time.Sleep(stableWindow + 2*time.Second)
 	calm := time.Now()
 	requestOnEach(d, all, "order", 0)
-	d.backends = append(d.backends, other)
 	return append(d.misroutes(holders, calm, time.Now()), resets(holders)...), nil
 }
 
-// storeOutage lets the store refuse all calls for some seconds. The servers' entries lapse meanwhile. All
-// are back within two seconds of the store's return, each at its own time. whenBack is called
-// before the last one.
-func (d *deployment) storeOutage(whenBack func()) {
-	d.log.printf("store: down")
-	d.store.SetFault(metastore.Unavailable)
-	for _, b := range d.backends {
-		b.setCutOff(true)
-	}
-	time.Sleep(lapseTime)
-	for _, b := range d.backends {
-		d.store.Remove(serverPrefix + b.id)
-	}
-	d.log.printf("store: the servers' entries have lapsed")
-	time.Sleep(outageTime - lapseTime)
-	d.store.SetFault(metastore.NoFault)
-	d.log.printf("store: back")
-	last := len(d.backends) - 1
-	for i, b := range d.backends {
-		pause := returnTime / 2 / time.Duration(last)
-		if i == last {
-			whenBack()
-			pause = returnTime / 3
-		}
-		time.Sleep(pause)
-		b.setCutOff(false)
-		b.write()
-	}
-}
-
 // requestOnEach sends a request on each flow, each a time after the one before, and waits for all
 // answers.
 func requestOnEach(d *deployment, all []*clientFlow, text string, apart time.Duration) {
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -28,7 +28,7 @@
 
 var scenarios = map[string]scenario{
 	"foreign-claim":  playForeignClaim,
-	"foreign-lapse":  playForeignLapse,
+	"foreign-pair":   playForeignPair,
 	"foreign-fields": playForeignFields,
 	"reused-port":    playReusedPort,
 	"old-service":    playOldService,
