--- a/review/standins3/cases.go
+++ b/review/standins3/cases.go
@@ -93,7 +93,7 @@
 
 // openEach opens flows to the orders service at clients of both failure domains.
 func openEach(d *deployment) ([]*clientFlow, error) {
-	const clients, flowsEach = 4, 10
+	const clients, flowsEach = 4, 20
 	var all []*clientFlow
 	for n := range clients {
 		c, err := d.addClient(n, []string{"za", "zb"}[n%2])
@@ -196,7 +196,7 @@
 		}
 	}
 	slices.SortFunc(mine, func(a, b *clientFlow) int { return a.local.Compare(b.local) })
-	requestOnEach(d, mine, "order", 600*time.Millisecond)
+	requestOnEach(d, mine, "order", 300*time.Millisecond)
 	breaches := append(d.misroutes(holders, time.Time{}, time.Now()), resets(holders)...)
 	leaving.end(true)
 	return breaches, nil
