--- a/review/standins3/deployment.go
+++ b/review/standins3/deployment.go
@@ -48,8 +48,8 @@
 )
 
 var (
-	ordersAddr    = netip.MustParseAddrPort("198.18.0.1:8443")
-	catalogueAddr = netip.MustParseAddrPort("198.18.0.2:8443")
+	ordersAddr    = netip.MustParseAddrPort("127.250.0.1:8443")
+	catalogueAddr = netip.MustParseAddrPort("127.250.0.2:8443")
 )
 
 // deployment is a small deployment of entry instances and the platform around it.
