Go by the cookie where a packet does not continue the flow in the table

Callers saw: a client closes a flow, uses its port again some seconds later, and the new flow is reset in the middle of a request by a server that does not hold it.

Cause: an entry of the flow table decided about all packets between its endpoints until it had been idle for the idle timeout. While another instance is restarted, its flows pass this one; they go back, end there, and new flows between the same endpoints open elsewhere. At the next restart their packets met the entries of the earlier flows.

Ruled out: resets by instances (no flow_reset line), ended servers (50 of 50 probes answered).

Change: a packet goes by the entry only if its sequence numbers continue the entry's; otherwise the entry is replaced by what the cookie says, with a log line and a counter. Why it works: an instance without an entry has always forwarded such packets rightly; the entry is needed only for a client that a second server has answered late, and there the numbers continue.

--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -23,9 +23,9 @@
 	prefixBurst = 2
 	// prefixEntries bounds the table of source prefixes to 32 KB.
 	prefixEntries = 2048
-	// maxOpeningAdvance is the range of sequence numbers after an opening packet in which the next
-	// packets of its flow lie: more than 16 packets of 1,200 bytes.
-	maxOpeningAdvance = 1 << 16
+	// maxAdvance bounds the distance between the sequence numbers of successive packets of a flow that all
+	// pass this instance. A client has at most 16 packets of 1,200 bytes in flight.
+	maxAdvance = 1 << 16
 	// forgetInterval is the time between passes that delete servers without a record.
 	forgetInterval = 10 * time.Second
 )
@@ -80,6 +80,7 @@
 	unreportedFailures []uint32             // cookies of the servers of failures not yet reported to peers
 	lastTick           time.Duration
 	runningSince       time.Duration // time of the first tick after the last pause of the process
+	routingChangedAt   time.Duration // last call of RoutingChanged
 	byAddress          map[netip.AddrPort][]*server
 
 	evacuated      map[string]struct{} // failure domains
@@ -135,6 +136,7 @@
 		evacuated:        make(map[string]struct{}),
 		peerLoads:        make(map[string]peerLoads),
 		handshake:        float64(initialHandshake),
+		routingChangedAt: -routingSettleTime,
 	}
 	if n := cfg.NewFlowsPerPrefix; n > 0 {
 		e.prefixes = admission.NewPrefixLimiter(float64(n), prefixBurst*n, prefixEntries, cfg.Seed, instant(0))
@@ -177,7 +179,8 @@
 		return e.refuse(NoRoute), nil
 	}
 	f := e.flows[p.Flow]
-	if f != nil && f.state == opening && f.server.health.state <= suspected && e.accepts(now, f.server) {
+	isCopy := f != nil && f.state == opening && f.seq == p.Sequence
+	if isCopy && f.server.health.state <= suspected && e.accepts(now, f.server) {
 		if !f.server.progressedAfter(f.sentAt) {
 			f.server.health.retransmissions++
 		}
@@ -213,46 +216,14 @@
 }
 
 func (e *Engine) continueFlow(now time.Duration, p Packet) (Decision, []Action) {
+	d := Decision{Verdict: Forward, Reason: ByFlow}
 	f := e.flows[p.Flow]
-	reason, newlyTracked := ByFlow, false
-	var handshake time.Duration
-	if f != nil && f.state == opening && p.Sequence-f.seq > maxOpeningAdvance {
-		// A late packet of an earlier flow between the same endpoints: it must not decide the
-		// server of the new one.
-		s, cookieReason := e.serverByCookie(now, p)
-		if s == nil {
-			return Decision{Verdict: Drop, Reason: cookieReason}, nil
+	if f == nil || f.state == opening || !f.continuedBy(&p) {
+		if f = e.flowByCookie(now, f, &p, &d); f == nil {
+			return d, nil
 		}
-		return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
 	}
-	if f == nil || f.state == opening {
-		s, cookieReason := e.serverByCookie(now, p)
-		if s == nil && f == nil {
-			return Decision{Verdict: Drop, Reason: cookieReason}, nil
-		}
-		reason = ByCookie
-		if f == nil {
-			if len(e.flows) >= e.cfg.MaxFlows {
-				return Decision{Verdict: Forward, Reason: ByCookie, Target: s.target()}, nil
-			}
-			f, newlyTracked = e.track(now, p.Flow, s, e.routeKind(p.Flow)), true
-			f.answers = manyAnswers // its earlier answers are unknown
-			f.class = e.routeClass(p.Flow)
-		} else if s != nil {
-			// The cookie names the server whose answer reached the client.
-			e.assign(f, s)
-		}
-		elapsed := unknownElapsed
-		if f.state == opening && !newlyTracked && p.Acknowledges {
-			handshake = now - duration(f.sentAt)
-			elapsed = handshake
-			f.handshake = uint16(min(millis(handshake), maxFlowHandshake))
-			e.handshake += (float64(elapsed) - e.handshake) * handshakeGain
-		}
-		f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
-		e.recordProgress(now, f.server, elapsed)
-	}
-	d := Decision{Verdict: Forward, Reason: reason, Target: f.server.target(), Handshake: handshake}
+	d.Target = f.server.target()
 	var actions []Action
 	d.Response, actions = e.observe(now, f, p)
 	if e.shouldReset(now, f) {
@@ -264,6 +235,56 @@
 	return d, append(actions, e.askAgain(now, f.server)...)
 }
 
+// flowByCookie decides by its cookie about a packet whose flow is not known to be open: it has no entry in
+// the table, its entry f is of an opening flow, or the packet does not continue the entry's flow. It returns
+// the entry from then on, or nil if the decision d is complete.
+func (e *Engine) flowByCookie(now time.Duration, f *flow, p *Packet, d *Decision) *flow {
+	s, cookieReason := e.serverByCookie(now, *p)
+	isOpening := f != nil && f.state == opening
+	// A late packet of an earlier flow between the same endpoints must not decide the server of the new one.
+	isLate := isOpening && p.Sequence-f.seq > maxAdvance
+	switch {
+	case s == nil && (!isOpening || isLate || p.Cookie != 0):
+		// Also while the flow is opening: the cookie names the server that has accepted it, so the one in the
+		// table has not.
+		d.Verdict, d.Reason = Drop, cookieReason
+		return nil
+	case isLate:
+		d.Reason, d.Target = ByCookie, s.target()
+		return nil
+	case f != nil && !isOpening:
+		// Other instances have forwarded much of this flow, or its end and the start of another one between
+		// the same endpoints. Everything that the entry says is out of date, its server included.
+		d.ReplacedServer, d.ReplacedIdle = f.server.ID, now-duration(f.seenAt)
+		e.removeFlow(f)
+		f = nil
+	}
+	d.Reason = ByCookie
+	elapsed := unknownElapsed
+	switch {
+	case f == nil && len(e.flows) >= e.cfg.MaxFlows:
+		d.Target = s.target()
+		return nil
+	case f == nil:
+		f = e.track(now, p.Flow, s, e.routeKind(p.Flow))
+		f.answers = manyAnswers // its earlier answers are unknown
+		f.class = e.routeClass(p.Flow)
+	default:
+		if s != nil {
+			e.assign(f, s)
+		}
+		if p.Acknowledges {
+			elapsed = now - duration(f.sentAt)
+			d.Handshake = elapsed
+			f.handshake = uint16(min(millis(elapsed), maxFlowHandshake))
+			e.handshake += (float64(elapsed) - e.handshake) * handshakeGain
+		}
+	}
+	f.state, f.ack, f.seq = open, p.Acknowledgement, p.Sequence
+	e.recordProgress(now, f.server, elapsed)
+	return f
+}
+
 // serverByCookie returns the server with the packet's cookie, provided that the packet's
 // route has used the server's service in a known version. If the route is unknown, the server
 // is accepted, because this instance's configuration may be out of date.
@@ -327,6 +348,9 @@
 	if now-e.lastTick > maxTickGap {
 		e.runningSince = now
 	}
+	if now-e.lastTick > minRouterDetection {
+		e.RoutingChanged(now)
+	}
 	e.lastTick = now
 	if e.cfg.RecordsCurrent != nil && !e.cfg.RecordsCurrent() {
 		e.outdatedAt = now
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -5,6 +5,17 @@
 	"time"
 )
 
+const (
+	// routingSettleTime is the time after a change by which the routers send each flow to its new instance:
+	// an instance that starts is ready within about 4 s, and the routers probe twice a second.
+	routingSettleTime = 5 * time.Second
+	// minRouterDetection is the shortest pause of an instance that the routers notice.
+	minRouterDetection = 500 * time.Millisecond
+	// recentPacket is the age of a flow's last packet up to which its endpoints still count as the flow's own:
+	// clients do not use a port again that soon.
+	recentPacket = time.Second
+)
+
 type flowState uint8
 
 const (
@@ -36,6 +47,20 @@
 // sequenceAfter reports whether sequence number a follows b, with wraparound.
 func sequenceAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
+// continuedBy reports whether a packet continues the flow from where this instance has last seen it. If so,
+// the entry goes before the packet's cookie: a client to which a second server has answered late sends that
+// server's cookie until its own one sends again. Until then, its acknowledgements do not go back, as those of
+// a later flow do where flows start with the same numbers.
+func (f *flow) continuedBy(p *Packet) bool {
+	if !near(p.Sequence, f.seq) {
+		return false
+	}
+	return !p.Acknowledges || near(p.Acknowledgement, f.ack) && (p.Cookie == f.server.cookie || !sequenceAfter(f.ack, p.Acknowledgement))
+}
+
+// near reports whether two sequence numbers are at most maxAdvance apart, with wraparound.
+func near(a, b uint32) bool { return a-b+maxAdvance <= 2*maxAdvance }
+
 func (e *Engine) track(now time.Duration, k FlowKey, s *server, kind RouteKind) *flow {
 	var f *flow
 	if n := len(e.free); n > 0 {
@@ -68,6 +93,17 @@
 	e.free = append(e.free, f)
 }
 
+// RoutingChanged records that the routers send some flows to other instances from about now on: another
+// instance has started or is heard again, or this one was out of service.
+func (e *Engine) RoutingChanged(now time.Duration) { e.routingChangedAt = now }
+
+// mayHaveEndedElsewhere reports whether another instance may have forwarded the end of the flow, so that its
+// endpoints may be those of a later flow by now.
+func (e *Engine) mayHaveEndedElsewhere(now time.Duration, f *flow) bool {
+	seenAt := duration(f.seenAt)
+	return now-seenAt > recentPacket && seenAt < e.routingChangedAt+routingSettleTime
+}
+
 // unknownElapsed is the response time of an answer whose request was not observed. Such an
 // answer never counts as quick.
 const unknownElapsed = time.Duration(math.MaxInt64)
@@ -81,7 +117,8 @@
 		acknowledged := p.Acknowledgement - f.ack
 		f.ack = p.Acknowledgement
 		elapsed := unknownElapsed
-		if f.requestPending {
+		// After a gap, the packet may acknowledge the answer to a request that another instance has forwarded.
+		if f.requestPending && !sequenceAfter(p.Sequence, f.seq) {
 			response = now - duration(f.sentAt)
 			elapsed = response
 			e.measureAnswer(now, f, p, elapsed, acknowledged)
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -332,7 +332,9 @@
 
 // resetFlows resets the tracked flows of a server. Unless the server is certainly dead, flows
 // with a pending non-idempotent request are kept: the client may not repeat the request, and
-// the answer may still arrive.
+// the answer may still arrive. Flows that may have ended at another instance are forgotten without a
+// reset, which could reach a later flow at another server; if such a flow is still open, its next packet
+// leads to the reset.
 func (e *Engine) resetFlows(now time.Duration, s *server, certain bool) []Action {
 	if s.flows == 0 {
 		return nil
@@ -342,6 +344,10 @@
 		if f.server != s || f.state != open || !certain && f.requestPending && f.kind == NonIdempotent {
 			continue
 		}
+		if e.mayHaveEndedElsewhere(now, f) {
+			e.removeFlow(f)
+			continue
+		}
 		actions = append(actions, Action{Kind: SendReset, Flow: f.key, Sequence: f.ack, Server: s.Name, Reason: ServerDead})
 		e.removeFlow(f)
 	}
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -108,6 +108,10 @@
 	Target    Target
 	Handshake time.Duration // handshake time of the flow that the packet establishes; else 0
 	Response  time.Duration // response time of the request whose answer the packet acknowledges; else 0
+	// ReplacedServer is the ID of the server in the table's entry, if the packet showed that the entry was
+	// outdated; else 0. ReplacedIdle is the time since the entry's last packet.
+	ReplacedServer uint64
+	ReplacedIdle   time.Duration
 }
 
 // ActionKind is the kind of an action that the engine's owner must carry out.
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -69,6 +69,16 @@
 	e.Bool("open", p.Open).Uint32("repeat", p.Acknowledgement).Msg(verdictEvents[d.Verdict])
 }
 
+// logReplaced logs that a packet took the place of an outdated entry of the flow table.
+func (l *eventLog) logReplaced(p forwarding.Packet, d forwarding.Decision) {
+	e := l.newEvent(zerolog.InfoLevel)
+	if e == nil {
+		return
+	}
+	e.Stringer("flow", p.Flow).Uint64("former_server", d.ReplacedServer).Dur("idle", d.ReplacedIdle).Uint32("cookie", p.Cookie).
+		Uint64(logging.Server, d.Target.ID).Msg("flow_entry_replaced")
+}
+
 var verdictEvents = [...]string{"packet_dropped", "flow_assigned", "flow_reset"}
 
 func (l *eventLog) logAction(a forwarding.Action) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -161,13 +161,19 @@
 func (f *Forwarder) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	wasReady, joinedAt := false, time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		ready := f.lifecycle.isReady.Load()
 		f.mu.Lock()
+		if at := f.mesh.JoinedAt(); at != joinedAt || ready != wasReady {
+			f.engine.RoutingChanged(f.now())
+			wasReady, joinedAt = ready, at
+		}
 		actions := f.engine.Tick(f.now())
 		f.mu.Unlock()
 		f.perform(actions)
--- a/internal/forwarder/metrics.go
+++ b/internal/forwarder/metrics.go
@@ -16,6 +16,7 @@
 type counters struct {
 	set                                                                                               *metrics.Set
 	malformedPackets, socketErrors, proactiveResets, openingPacketsMoved, suspectsSent, questionsSent *metrics.Counter
+	entriesReplaced                                                                                   *metrics.Counter
 	decisions                                                                                         [3][forwarding.NumReasons]*metrics.Counter
 	probes                                                                                            [len(outcomeNames)]*metrics.Counter
 	handshakes, responses                                                                             *metrics.Histogram
@@ -29,6 +30,7 @@
 		socketErrors:        set.NewCounter("forwarder_socket_errors_total"),
 		proactiveResets:     set.NewCounter("forwarder_flows_reset_total"),
 		openingPacketsMoved: set.NewCounter("forwarder_opening_packets_moved_total"),
+		entriesReplaced:     set.NewCounter("forwarder_flow_entries_replaced_total"),
 		suspectsSent:        set.NewCounter("forwarder_suspicions_told_total"),
 		questionsSent:       set.NewCounter("forwarder_settlers_asked_total"),
 		handshakes:          set.NewHistogram("forwarder_handshake_seconds"),
--- a/internal/forwarder/packets.go
+++ b/internal/forwarder/packets.go
@@ -55,6 +55,10 @@
 		f.sendReset(p.Flow, p.Acknowledgement)
 	}
 	f.events.logDecision(p, decision, version, refusal)
+	if decision.ReplacedServer != 0 {
+		f.counters.entriesReplaced.Inc()
+		f.events.logReplaced(p, decision)
+	}
 	if len(actions) > 0 {
 		f.perform(actions)
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -111,6 +111,7 @@
 	nextRecipient  int                // index of the next status message's first recipient
 	selfListed     bool               // the directory contains this instance in its failure domain
 	gainedAt       time.Duration      // last change that may have made this instance the owner of cold servers; at first the start
+	joinedAt       time.Duration      // see JoinedAt
 	owners         []placement.Member // listed instances of the own failure domain, sorted by ID
 }
 
@@ -150,9 +151,19 @@
 	if !p.heard || s.AsOf != p.status.AsOf {
 		p.advancedAt = now
 	}
+	switch {
+	case !p.heard || s.Incarnation != p.status.Incarnation:
+		m.joinedAt = now
+	case p.Domain == m.cfg.Self.Domain && now-p.heardAt >= m.aliveTime():
+		m.joinedAt = now // members of other failure domains send only while they are delegates
+	}
 	p.status, p.heardAt, p.heard = s, now, true
 }
 
+// JoinedAt returns when an instance has last joined as far as messages show: one that has started, or one of
+// the own failure domain that is heard again after it did not count as alive.
+func (m *Mesh) JoinedAt() time.Duration { return m.joinedAt }
+
 // Forget deletes members that are neither listed nor heard.
 func (m *Mesh) Forget(now time.Duration) {
 	changed := false
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -361,3 +361,32 @@
 		t.Errorf("members %v", got)
 	}
 }
+
+// Guards against an instance that joins unnoticed: the routers give it flows of other instances, which would
+// go on to decide about them.
+func TestJoinedAt(t *testing.T) {
+	const second = time.Second
+	peer := func(id, domain string) Peer {
+		return Peer{ID: id, Domain: domain, Address: netip.MustParseAddrPort("10.0.0.2:7000")}
+	}
+	m := New(Config{Self: Peer{ID: "self", Domain: "a"}})
+	for _, s := range []struct {
+		what   string
+		at     time.Duration
+		status Status
+		want   time.Duration
+	}{
+		{"first message", 1 * second, Status{Peer: peer("p", "a"), Incarnation: 1}, 1 * second},
+		{"next one", 1500 * time.Millisecond, Status{Peer: peer("p", "a"), Incarnation: 1}, 1 * second},
+		{"restart", 2 * second, Status{Peer: peer("p", "a"), Incarnation: 2}, 2 * second},
+		{"short silence", 2*second + minAliveTime - 1, Status{Peer: peer("p", "a"), Incarnation: 2}, 2 * second},
+		{"silence", 5 * second, Status{Peer: peer("p", "a"), Incarnation: 2}, 5 * second},
+		{"another failure domain", 6 * second, Status{Peer: peer("q", "b"), Incarnation: 1}, 6 * second},
+		{"its silence while it is no delegate", 20 * second, Status{Peer: peer("q", "b"), Incarnation: 1}, 6 * second},
+		{"its restart", 21 * second, Status{Peer: peer("q", "b"), Incarnation: 2}, 21 * second},
+	} {
+		if m.ApplyStatus(s.at, s.status); m.JoinedAt() != s.want {
+			t.Errorf("%s: joined at %v, want %v", s.what, m.JoinedAt(), s.want)
+		}
+	}
+}
