Send copies of opening packets only to servers that new flows may go to

Callers saw: orders run at the service that a route no longer uses, by flows whose opening packets were sent up to 540 ms after another client's order had run at the new service through the same instance (rule CONFIG, slack 250 ms).

Cause: once the first opening packet had been sent, the flow table decided about its copies; only the server's health, evacuations and slow start were looked at.

Change: a copy stays with its server only if a new flow of the route in force could go there: service with a weight, record present or just lapsed, not draining, proved, not hidden by another server with its cookie, not evacuated, within the limit of a cold start. Otherwise a server is chosen again (reason chosen_again). Stored opening packets are no longer sent once the client has given up, or for an earlier flow between the same endpoints.

--- a/forwarding/choose.go
+++ b/forwarding/choose.go
@@ -72,6 +72,13 @@
 	return nil
 }
 
+// keepsCopies reports whether a copy of an opening packet may follow the earlier ones to the server. A server
+// may accept the flow by the copy alone, so this is decided like the choice for a new flow, except that a
+// suspected or full server keeps its copies: it may have answered already.
+func (e *Engine) keepsCopies(now time.Duration, r *route, s *server) bool {
+	return r.uses(s.service) && (s.eligible() && s.health.state <= suspected || s.usableAfterRemoval(now)) && e.accepts(now, s)
+}
+
 // accepts reports whether new flows may go to the server as far as evacuations and its slow start
 // are concerned. Nothing else overrides it.
 func (e *Engine) accepts(now time.Duration, s *server) bool {
--- a/forwarding/config.go
+++ b/forwarding/config.go
@@ -88,6 +88,16 @@
 	return false
 }
 
+// uses reports whether new flows of the route may go to the service.
+func (r *route) uses(s *service) bool {
+	for _, w := range r.services {
+		if w.service == s && w.weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Configure applies a configuration. A version older than the one in force is ignored,
 // because a configuration must never be rolled back. It reports whether the version is now in
 // force.
--- a/forwarding/engine.go
+++ b/forwarding/engine.go
@@ -108,10 +108,18 @@
 
 // pendingOpen stores an opening packet until its flow is open.
 type pendingOpen struct {
-	flow   *flow
-	key    FlowKey
-	packet []byte
-	at     time.Duration
+	flow     *flow
+	key      FlowKey
+	sequence uint32
+	packet   []byte
+	at       time.Duration
+}
+
+// waits reports whether the client still waits for an answer to the packet. Its flow's entry may belong to
+// another flow by now, also between the same endpoints.
+func (p *pendingOpen) waits(now time.Duration) bool {
+	f := p.flow
+	return f.key == p.key && f.state == opening && f.seq == p.sequence && now-p.at <= pendingLifetime
 }
 
 // New returns an engine without a configuration.
@@ -180,14 +188,14 @@
 	}
 	f := e.flows[p.Flow]
 	isCopy := f != nil && f.state == opening && f.seq == p.Sequence
-	if isCopy && f.server.health.state <= suspected && e.accepts(now, f.server) {
+	if isCopy && e.keepsCopies(now, r, f.server) {
 		if !f.server.progressedAfter(f.sentAt) {
 			f.server.health.retransmissions++
 		}
 		e.countOpeningPacket(now, f.server)
 		return Decision{Verdict: Forward, Reason: ByFlow, Target: f.server.target()}, nil
 	}
-	if e.prefixes != nil {
+	if e.prefixes != nil && !isCopy {
 		if ok, _ := e.prefixes.Allow(instant(now), p.Flow.ClientAddr()); !ok {
 			return Decision{Verdict: ResetFlow, Reason: PrefixLimited}, nil
 		}
@@ -202,6 +210,10 @@
 	}
 	e.countOpeningPacket(now, s)
 	e.countEvacuated(s)
+	if isCopy {
+		e.moveOpening(now, f, s, r)
+		return Decision{Verdict: Forward, Reason: ChosenAgain, Target: s.target()}, actions
+	}
 	if f != nil {
 		e.removeFlow(f)
 	}
@@ -210,11 +222,18 @@
 		f.class = r.classIndex
 		f.seq = p.Sequence
 		e.addExpectedRate(s, r)
-		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, packet: append([]byte(nil), raw...), at: now})
+		e.pending = append(e.pending, pendingOpen{flow: f, key: f.key, sequence: f.seq, packet: append([]byte(nil), raw...), at: now})
 	}
 	return Decision{Verdict: Forward, Reason: Chosen, Target: s.target()}, actions
 }
 
+// moveOpening gives a flow that is opening to another server, by the route in force.
+func (e *Engine) moveOpening(now time.Duration, f *flow, to *server, r *route) {
+	e.assign(f, to)
+	f.kind, f.class, f.sentAt = r.kind, r.classIndex, millis(now)
+	e.addExpectedRate(to, r)
+}
+
 func (e *Engine) continueFlow(now time.Duration, p Packet) (Decision, []Action) {
 	d := Decision{Verdict: Forward, Reason: ByFlow}
 	f := e.flows[p.Flow]
@@ -378,7 +397,7 @@
 	kept := e.pending[:0]
 	for _, p := range e.pending {
 		f := p.flow
-		if f.key != p.key || f.state != opening || now-p.at > pendingLifetime {
+		if !p.waits(now) {
 			continue
 		}
 		kept = append(kept, p)
--- a/forwarding/health.go
+++ b/forwarding/health.go
@@ -148,7 +148,7 @@
 	var actions []Action
 	for _, p := range e.pending[max(0, len(e.pending)-maxPendingLookup):] {
 		f := p.flow
-		if p.key != f.key || f.state != opening || f.key == k || f.key.Client != k.Client || f.key.Service != k.Service {
+		if !p.waits(now) || f.key == k || f.key.Client != k.Client || f.key.Service != k.Service {
 			continue
 		}
 		if now-p.at >= time.Duration(e.handshake/2) && !f.server.progressedAfter(millis(p.at)) {
@@ -309,7 +309,7 @@
 	var actions []Action
 	for _, p := range e.pending {
 		f := p.flow
-		if f.server != s || f.state != opening || f.key != p.key {
+		if f.server != s || !p.waits(now) {
 			continue
 		}
 		r := e.routes[routeKey{f.key.Service, f.key.ServicePort}]
@@ -321,10 +321,8 @@
 			e.countPassedOver()
 			continue
 		}
-		e.assign(f, next)
-		e.addExpectedRate(next, e.routeOf(f.key))
+		e.moveOpening(now, f, next, r)
 		e.countOpeningPacket(now, next)
-		f.sentAt = millis(now)
 		actions = append(actions, Action{Kind: SendPacket, Flow: f.key, Packet: p.packet, Target: next.target(), Server: next.Name, Reason: ServerDead})
 	}
 	return actions
--- a/forwarding/packet.go
+++ b/forwarding/packet.go
@@ -75,6 +75,7 @@
 	ByCookie      Reason = iota // the packet's cookie names the server
 	ByFlow                      // the flow table names the server
 	Chosen                      // a server was chosen for a new flow
+	ChosenAgain                 // another server was chosen for a copy of an opening packet
 	NoRoute                     // the configuration has no route to the address
 	NoServer                    // no server of the route's services is eligible
 	UnknownCookie               // no known server has this cookie
@@ -90,7 +91,7 @@
 	NumReasons
 )
 
-var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited", "overloaded", "deadline_unmet", "evacuated"}
+var reasonNames = [NumReasons]string{"cookie", "flow", "chosen", "chosen_again", "no_route", "no_server", "unknown_cookie", "server_dead", "not_serving", "other_service", "prefix_limited", "overloaded", "deadline_unmet", "evacuated"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/forwarding/property_test.go
+++ b/forwarding/property_test.go
@@ -185,10 +185,8 @@
 		return
 	}
 	s := w.e.byCookie[d.Target.Cookie][0]
-	// A retransmitted opening packet stays with its server, which may have answered the first
-	// one. It arrives at most 600 ms later, within any bound on draining.
-	if s.Draining && d.Reason == Chosen {
-		t.Fatalf("new flow assigned to draining server %s", s.Name)
+	if s.Draining {
+		t.Fatalf("opening packet (%v) sent to draining server %s", d.Reason, s.Name)
 	}
 	w.owner[key] = d.Target.Cookie
 	w.packet(t, key, Packet{Flow: key, Acknowledges: true, Cookie: d.Target.Cookie, Sequence: 1, Acknowledgement: 1})
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -102,10 +102,11 @@
 
 func (s *server) target() Target { return Target{Address: s.Address, ID: s.ID, Cookie: s.cookie} }
 
+// eligible reports whether new flows may go to the server as far as its records are concerned.
+func (s *server) eligible() bool { return s.listed && !s.unproven && !s.Draining && !s.shadowed }
+
 // usable reports whether new flows may go to the server.
-func (s *server) usable() bool {
-	return s.listed && !s.unproven && !s.Draining && !s.shadowed && s.health.state == trusted
-}
+func (s *server) usable() bool { return s.eligible() && s.health.state == trusted }
 
 // usableAfterRemoval reports whether the server may get new flows although its record
 // vanished recently.
@@ -116,7 +117,7 @@
 // usableAsLastResort reports whether the server may get new flows although it looks
 // unreachable: the instance's own link may be saturated.
 func (s *server) usableAsLastResort(time.Duration) bool {
-	return s.listed && !s.unproven && !s.Draining && !s.shadowed && s.health.state <= unreachable && s.health.unansweredProbes < lastResortUnansweredProbes
+	return s.eligible() && s.health.state <= unreachable && s.health.unansweredProbes < lastResortUnansweredProbes
 }
 
 func (e *Engine) service(name string) *service {
