Do not take a record of a service that no configuration names for a server's word

Callers saw: another writer leaves such a record under the key of a living server, with the address of another host.

Cause: a record that was held back counted as one of the server's process whatever its service was: as written after the process's own records, which were then dropped, as a move of the process when a probe was refused, and as a record to apply after 4 s to a server without one.

With the code of before, TestRecordOfUnnamedService fails in 7 of 10 parts, with the packet at the foreign address or at the earlier one. Ruled out: a claim that settles too early; the own record follows within 1.2 s and is dropped.

Change: such a claim is never applied, its address is not asked, and the server's own records are not compared with it. It does not replace a claim of a named service. If it is the only record that is known, as after a start, a record of a named service replaces it at once. Without another record for 4 s, the server counts as one without a record: open flows stay, new ones go elsewhere.

--- a/forwarding/claims.go
+++ b/forwarding/claims.go
@@ -22,13 +22,18 @@
 // claim is a record that is not applied yet.
 type claim struct {
 	Server
+	service *service
 	since   time.Duration
 	nextAsk time.Duration // earliest time of the next probe at its address
 	removed bool          // the record was removed, but its process may live at the address
 }
 
-// claimsElsewhere reports whether the claim names another address than the server's.
-func (s *server) claimsElsewhere() bool { return s.claim != nil && s.claim.Address != s.Address }
+// claimsElsewhere reports whether the server's process may be at the address of the claim instead of
+// its own. A record of a service that no configuration has named is another writer's, so that its
+// address says nothing about the process.
+func (s *server) claimsElsewhere() bool {
+	return s.claim != nil && s.claim.service.named && s.claim.Address != s.Address
+}
 
 // hasMoved reports whether a later record than the one in force names another address. Once the
 // server's own address does not answer for it any more, its process is there.
@@ -36,33 +41,45 @@
 
 // contradictedBy reports whether a record contradicts what is known about the server's process: it
 // was written before the known record or before a claim that is being asked about, it moves a
-// process that is not known to be down, or it names a service that no configuration has named.
+// process that is not known to be down, or it names a service that no configuration has named. If
+// only the known record names such a service, that one is another writer's and contradicts nothing.
 func (e *Engine) contradictedBy(s *server, in *Server) bool {
-	return in.writtenBefore(&s.Server) || s.claimsElsewhere() && in.writtenBefore(&s.claim.Server) ||
-		s.listed && in.Address != s.Address && s.health.state <= suspected ||
-		s.service.named && !e.service(in.Service).named
+	named := e.service(in.Service).named
+	switch {
+	case s.claimsElsewhere() && in.writtenBefore(&s.claim.Server):
+		return true
+	case s.service.named != named:
+		return s.service.named
+	}
+	return in.writtenBefore(&s.Server) || s.listed && in.Address != s.Address && s.health.state <= suspected
 }
 
 // holdClaim holds a record back. If it names another address, that address is asked. Of several
-// claims, the one that was written last is kept, and the first one's time counts.
+// claims, the one that was written last is kept, and the first one's time counts. A record of a
+// service that no configuration has named does not replace a claim of a named one.
 func (e *Engine) holdClaim(now time.Duration, s *server, in Server) []Action {
 	s.Revision = in.Revision
+	c := &claim{Server: in, service: e.service(in.Service), since: now}
 	if in.Address != s.Address {
 		s.namedElsewhereAt = now
 	}
-	if in.Draining {
+	if in.Draining && c.service.named {
 		s.leaving = true
 		s.Draining = s.Draining || in.StartedAt == s.StartedAt
 	}
-	since := now
-	if s.claim != nil {
-		s.claim.removed = false
-		if in.writtenBefore(&s.claim.Server) {
+	if o := s.claim; o != nil {
+		switch {
+		case o.service.named && !c.service.named:
 			return nil
+		case o.service.named == c.service.named:
+			o.removed = false
+			if in.writtenBefore(&o.Server) {
+				return nil
+			}
+			c.since = o.since
 		}
-		since = s.claim.since
 	}
-	s.claim = &claim{Server: in, since: since}
+	s.claim = c
 	e.claimants[s] = struct{}{}
 	return e.askClaim(now, s)
 }
@@ -75,15 +92,20 @@
 	s.claim.nextAsk = now + downProbeInterval
 	t := s.target()
 	t.Address = s.claim.Address
-	return []Action{{Kind: Probe, Target: t, Server: s.Name, Path: e.healthPathAt(e.service(s.claim.Service), t.Address), Incarnation: s.incarnation}}
+	return []Action{{Kind: Probe, Target: t, Server: s.Name, Path: e.healthPathAt(s.claim.service, t.Address), Incarnation: s.incarnation}}
 }
 
 // settleClaims applies the claims that no later record has replaced in time. A claim to another
-// address waits as long as the server may live at its own.
+// address waits as long as the server may live at its own. A claim of a service that no
+// configuration has named is never applied: the server gets no new flows, and its open ones stay.
 func (e *Engine) settleClaims(now time.Duration) []Action {
 	var actions []Action
 	for s := range e.claimants {
 		switch {
+		case !s.claim.service.named:
+			if s.listed && now-s.claim.since >= claimLifetime {
+				actions = append(actions, e.unlist(now, s)...)
+			}
 		case s.claimsElsewhere() && s.listed && s.health.state <= suspected:
 			actions = append(actions, e.askClaim(now, s)...)
 		case now-s.claim.since < claimLifetime:
@@ -205,7 +227,7 @@
 
 // applyClaimResult handles the result of a probe at the address of a claim.
 func (e *Engine) applyClaimResult(now time.Duration, s *server, r ProbeResult) []Action {
-	if s.claim == nil || s.claim.Address != r.Address {
+	if !s.claimsElsewhere() || s.claim.Address != r.Address {
 		return nil
 	}
 	began := now - r.Elapsed
--- a/forwarding/server.go
+++ b/forwarding/server.go
@@ -205,6 +205,11 @@
 	if !s.listed {
 		return nil
 	}
+	return e.unlist(now, s)
+}
+
+// unlist regards the server as one without a record. Its open flows stay.
+func (e *Engine) unlist(now time.Duration, s *server) []Action {
 	s.listed, s.removedAt = false, now
 	e.updateShadows(s)
 	if s.flows > 0 {
