Let the clients of the soak use their ports again

The soak moved flows between instances but opened each one from a new port, so that it could not find the fault of docs/incidents/outdated-entry.md. Its clients now open flows from ports whose last flow was closed at least 1 s ago, and a third of the flows last long enough to return to their instance and end there.

--- a/internal/standin/flows/client.go
+++ b/internal/standin/flows/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,8 +17,13 @@
 	ErrTimeout          = errors.New("no response within the timeout")
 )
 
-// retransmitInterval is the time between transmissions of an unanswered packet.
-const retransmitInterval = 200 * time.Millisecond
+const (
+	// retransmitInterval is the time between transmissions of an unanswered packet.
+	retransmitInterval = 200 * time.Millisecond
+	// resetWindow bounds the distance between the sequence number of a forwarder's reset and the
+	// client's last acknowledgement. Clients ignore other resets of an open flow.
+	resetWindow = 76_800
+)
 
 // Client is a client host. Its flows share one socket.
 type Client struct {
@@ -27,6 +33,14 @@
 	mu       sync.Mutex
 	nextPort uint16
 	flows    map[uint16]*Flow
+	portRest time.Duration // 0 if no port is used twice
+	resting  []restingPort // in the order in which their flows were closed
+}
+
+// restingPort is a port whose flow was closed.
+type restingPort struct {
+	number uint16
+	since  time.Time
 }
 
 // Flow is an open flow of a client. It is not safe for concurrent use.
@@ -36,9 +50,10 @@
 	service  netip.AddrPort
 	received chan Packet
 	cookie   uint32
+	start    uint32 // sequence number of the SYN
 	sequence uint32
-	ack      uint32
-	resetAt  atomic.Int64 // when the first reset arrived, in Unix nanoseconds; 0 without one
+	ack      atomic.Uint32 // last acknowledgement; 0 while the flow is not open
+	resetAt  atomic.Int64  // when the first reset arrived, in Unix nanoseconds; 0 without one
 }
 
 // StartClient starts a client that listens at an address. Its port must be the one to which
@@ -53,6 +68,24 @@
 	return c, nil
 }
 
+// ReusePorts makes the client open flows from ports whose last flow was closed at least rest ago.
+func (c *Client) ReusePorts(rest time.Duration) { c.portRest = rest }
+
+// Port returns the port for the next flow. The caller passes it to OpenFrom.
+func (c *Client) Port() uint16 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.portRest > 0 && len(c.resting) > 0 && time.Since(c.resting[0].since) >= c.portRest {
+		port := c.resting[0].number
+		c.resting = c.resting[1:]
+		return port
+	}
+	if c.nextPort++; c.nextPort == 0 {
+		c.nextPort = 1024
+	}
+	return c.nextPort
+}
+
 // Stop closes the client's socket.
 func (c *Client) Stop() { c.conn.Close() }
 
@@ -70,7 +103,7 @@
 		c.mu.Lock()
 		f := c.flows[p.Destination.Port()]
 		c.mu.Unlock()
-		if f != nil {
+		if f != nil && !f.ignores(&p) {
 			if p.Flags&RST != 0 {
 				f.resetAt.CompareAndSwap(0, time.Now().UnixNano())
 			}
@@ -82,21 +115,31 @@
 	}
 }
 
+// ignores reports whether the client ignores the packet: a forwarder's reset whose sequence number is not near
+// the client's last acknowledgement, which is meant for an earlier flow from the port.
+func (f *Flow) ignores(p *Packet) bool {
+	ack := f.ack.Load()
+	return p.Flags&RST != 0 && !p.ChecksumValid && ack != 0 && p.Sequence-ack+resetWindow > 2*resetWindow
+}
+
 // Open opens a flow to a service through the entry instance at via.
 func (c *Client) Open(service, via netip.AddrPort, timeout time.Duration) (*Flow, error) {
+	return c.OpenFrom(c.Port(), service, via, timeout)
+}
+
+// OpenFrom opens a flow from a port that Port has returned.
+func (c *Client) OpenFrom(port uint16, service, via netip.AddrPort, timeout time.Duration) (*Flow, error) {
+	f := &Flow{client: c, local: netip.AddrPortFrom(c.ip, port), service: service, received: make(chan Packet, 64), start: rand.Uint32()}
 	c.mu.Lock()
-	if c.nextPort++; c.nextPort == 0 {
-		c.nextPort = 1024
-	}
-	f := &Flow{client: c, local: netip.AddrPortFrom(c.ip, c.nextPort), service: service, received: make(chan Packet, 64), sequence: 100}
-	c.flows[c.nextPort] = f
+	c.flows[port] = f
 	c.mu.Unlock()
-	p, err := f.exchange(via, Packet{Flags: SYN, Sequence: f.sequence}, timeout, func(p Packet) bool { return p.Flags&SYN != 0 })
+	p, err := f.exchange(via, Packet{Flags: SYN, Sequence: f.start}, timeout, func(p Packet) bool { return p.Flags&SYN != 0 && p.Ack == f.start+1 })
 	if err != nil {
 		return nil, err
 	}
-	f.cookie, f.sequence, f.ack = p.Cookie, f.sequence+1, p.Sequence+1
-	f.send(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack})
+	f.cookie, f.sequence = p.Cookie, f.start+1
+	f.ack.Store(p.Sequence + 1)
+	f.send(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack.Load()})
 	return f, nil
 }
 
@@ -112,15 +155,22 @@
 // Request sends data through the entry instance at via and returns the data of the last
 // packet of the response, which is shorter than the 1,200 bytes of the first.
 func (f *Flow) Request(via netip.AddrPort, data string, timeout time.Duration) (string, error) {
-	p, err := f.exchange(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack, Data: []byte(data)}, timeout, func(p Packet) bool {
-		f.cookie, f.ack = p.Cookie, p.Sequence+uint32(len(p.Data))
-		return len(p.Data) > 0 && len(p.Data) < 1200
+	p, err := f.exchange(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack.Load(), Data: []byte(data)}, timeout, func(p Packet) bool {
+		if p.Ack-f.start > f.sequence+uint32(len(data))-f.start {
+			return false // of an earlier flow from the port
+		}
+		f.cookie = p.Cookie
+		if len(p.Data) == 0 {
+			return false // also the SYN+ACK of a second server
+		}
+		f.ack.Store(p.Sequence + uint32(len(p.Data)))
+		return len(p.Data) < 1200
 	})
 	if err != nil {
 		return "", err
 	}
 	f.sequence += uint32(len(data))
-	f.send(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack})
+	f.send(via, Packet{Flags: ACK, Sequence: f.sequence, Ack: f.ack.Load()})
 	return string(p.Data), nil
 }
 
@@ -178,10 +228,14 @@
 
 // Close sends a FIN and removes the flow from the client.
 func (f *Flow) Close(via netip.AddrPort) {
-	f.send(via, Packet{Flags: FIN | ACK, Sequence: f.sequence, Ack: f.ack})
-	f.client.mu.Lock()
-	delete(f.client.flows, f.local.Port())
-	f.client.mu.Unlock()
+	f.send(via, Packet{Flags: FIN | ACK, Sequence: f.sequence, Ack: f.ack.Load()})
+	c := f.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.flows, f.local.Port())
+	if c.portRest > 0 {
+		c.resting = append(c.resting, restingPort{f.local.Port(), time.Now()})
+	}
 }
 
 func (f *Flow) send(via netip.AddrPort, p Packet) {
--- a/internal/standin/flows/server.go
+++ b/internal/standin/flows/server.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -43,6 +44,8 @@
 	closed       bool // the client has sent FIN or RST
 	lastPacket   time.Time
 	cookie       uint32
+	start        uint32 // sequence number of the SYN+ACK
+	clientStart  uint32 // sequence number of the client's SYN
 	sequence     uint32
 	nextSequence uint32 // expected sequence number of the client's next data
 }
@@ -195,9 +198,14 @@
 		if s.onOpen != nil {
 			s.onOpen(via.Unmap(), p.Destination)
 		}
-		s.flows[p.Source] = &serverFlow{cookie: p.Cookie, sequence: 1000, nextSequence: p.Sequence + 1}
-		s.send(p, SYN|ACK, p.Cookie, 999, p.Sequence+1, nil)
-	case f == nil:
+		if f == nil || f.closed || f.clientStart != p.Sequence {
+			start := rand.Uint32()
+			f = &serverFlow{start: start, clientStart: p.Sequence, sequence: start + 1, nextSequence: p.Sequence + 1}
+			s.flows[p.Source] = f
+		}
+		f.cookie = p.Cookie
+		s.send(p, SYN|ACK, p.Cookie, f.start, p.Sequence+1, nil)
+	case f == nil || len(p.Data) > 0 && !f.holds(&p):
 		s.counters.UnknownFlow++
 		s.send(p, RST, p.Cookie, 0, 0, nil)
 	case len(p.Data) > 0:
@@ -206,6 +214,12 @@
 	}
 }
 
+// holds reports whether a packet with data belongs to the flow and not to a later one between the same
+// endpoints. On a flow that has ended, data is answered with a reset.
+func (f *serverFlow) holds(p *Packet) bool {
+	return !f.closed && p.Sequence-f.clientStart <= f.nextSequence-f.clientStart
+}
+
 func (s *Server) handleData(f *serverFlow, p Packet) {
 	if s.work == 0 {
 		s.respond(f, p)
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -34,34 +34,38 @@
 // runClient opens flows and sends requests on them, with random pauses, until the context
 // is cancelled.
 func (d *deployment) runClient(ctx context.Context, c *flows.Client, rng *rand.Rand) {
-	for n := 0; ctx.Err() == nil; n++ {
+	for ctx.Err() == nil {
 		service := ordersAddr
 		if rng.IntN(4) == 0 {
 			service = catalogueAddr
 		}
-		in := d.instanceForFlow(n)
+		port := c.Port()
+		in := d.instanceForFlow(int(port))
 		if in == nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
 		d.tried.Add(1)
-		f, err := c.Open(service, in.datagramAddr(), 1400*time.Millisecond)
+		f, err := c.OpenFrom(port, service, in.datagramAddr(), 1400*time.Millisecond)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		d.runFlow(ctx, f, n, rng)
+		d.runFlow(ctx, f, port, rng)
 	}
 }
 
-func (d *deployment) runFlow(ctx context.Context, f *flows.Flow, n int, rng *rand.Rand) {
+func (d *deployment) runFlow(ctx context.Context, f *flows.Flow, port uint16, rng *rand.Rand) {
 	s := d.serverForFlow(f)
 	requests, pause := 1+rng.IntN(8), 200
-	if rng.IntN(3) == 0 { // a flow that clients keep, with pauses, until its server has ended
+	switch rng.IntN(3) {
+	case 0: // a flow that clients keep, with pauses, until its server has ended
 		requests, pause = 60, 700
+	case 1: // a flow that may outlast a fault of its instance and then end
+		requests, pause = 5+rng.IntN(16), 400
 	}
 	for range requests {
-		in := d.instanceForFlow(n)
+		in := d.instanceForFlow(int(port))
 		if in == nil || ctx.Err() != nil {
 			break
 		}
@@ -88,7 +92,7 @@
 		}
 		time.Sleep(time.Duration(rng.IntN(pause)) * time.Millisecond)
 	}
-	if in := d.instanceForFlow(n); in != nil {
+	if in := d.instanceForFlow(int(port)); in != nil {
 		f.Close(in.datagramAddr())
 	}
 }
--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -42,6 +42,9 @@
 	// maxViolations limits the number of violations recorded in one run.
 	maxViolations = 20
 
+	// portRest is how long a client's port rests between two flows.
+	portRest = time.Second
+
 	domainCount      = 3
 	serversPerDomain = 2 // of service "orders"; "catalogue" has one in each domain
 )
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -71,6 +71,7 @@
 		if err != nil {
 			return Result{}, err
 		}
+		c.ReusePorts(portRest)
 		d.cleanups = append(d.cleanups, c.Stop)
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(i)))
 		workers.Go(func() { d.runClient(ctx, c, rng) })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -54,6 +54,7 @@
 	faultDuration time.Duration
 }{
 	{2019, 12 * time.Second}, // the run restored the store after it had ended all faults
+	{19, 15 * time.Second},   // an outdated entry of the flow table sent packets of a later flow to a wrong server
 }
 
 func runSeed(t *testing.T, binary string, seed uint64, faultDuration time.Duration, instances int) {
