--- a/forwarding/copies_test.go
+++ b/forwarding/copies_test.go
@@ -157,17 +157,17 @@
 		{"given up, this process was paused", func(*Engine) time.Duration { return at + pendingLifetime + time.Second }, "[]"},
 		{"paused, before the next tick", func(e *Engine) time.Duration {
 			e.Tick(at)
-			return at + minRouterDetection + time.Millisecond
+			return at + MinRouterDetection + time.Millisecond
 		}, "[]"},
 		{"paused", func(e *Engine) time.Duration {
 			e.Tick(at)
-			e.Tick(at + minRouterDetection + time.Millisecond)
-			return at + minRouterDetection + time.Millisecond
+			e.Tick(at + MinRouterDetection + time.Millisecond)
+			return at + MinRouterDetection + time.Millisecond
 		}, "[]"},
 		{"short pause", func(e *Engine) time.Duration {
 			e.Tick(at)
-			e.Tick(at + minRouterDetection)
-			return at + minRouterDetection
+			e.Tick(at + MinRouterDetection)
+			return at + MinRouterDetection
 		}, "[first to 2]"},
 		{"an instance has joined", func(e *Engine) time.Duration {
 			e.RoutingChanged(at + 100*time.Millisecond)
--- a/forwarding/flow.go
+++ b/forwarding/flow.go
@@ -9,8 +9,9 @@
 	// routingSettleTime is the time after a change by which the routers send each flow to its new instance:
 	// an instance that starts is ready within about 4 s, and the routers probe twice a second.
 	routingSettleTime = 5 * time.Second
-	// minRouterDetection is the shortest pause of an instance that the routers notice.
-	minRouterDetection = 500 * time.Millisecond
+	// MinRouterDetection is the shortest pause of an instance that the routers notice: they take it out of
+	// service after two missed probes, 0.5 s apart.
+	MinRouterDetection = 500 * time.Millisecond
 	// recentPacket is the age of a flow's last packet up to which its endpoints still count as the flow's own:
 	// clients do not use a port again that soon.
 	recentPacket = time.Second
@@ -100,7 +101,7 @@
 // wasPaused reports whether this process has stood still since its last tick for so long that the routers
 // may have noticed.
 func (e *Engine) wasPaused(now time.Duration) bool {
-	return e.lastTick > 0 && now-e.lastTick > minRouterDetection
+	return e.lastTick > 0 && now-e.lastTick > MinRouterDetection
 }
 
 // mayHaveEndedElsewhere reports whether another instance may have forwarded the end of the flow, so that its
--- a/internal/forwarder/backlog.go
+++ b/internal/forwarder/backlog.go
@@ -5,19 +5,17 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-const (
-	// minNoticedPause is the shortest pause of the process after which the routers may send packets to
-	// another instance: they take an instance out of service after two missed probes, 0.5 s apart.
-	minNoticedPause = 500 * time.Millisecond
-	// maxBacklogTime bounds the time for reading what waited in the socket during a pause. The socket's
-	// buffer holds some hundred packets, which take a few milliseconds.
-	maxBacklogTime = 250 * time.Millisecond
+	"github.com/monsoonthread/monsoonthread/forwarding"
 )
 
-// backlog tells which packets may have waited in the socket while the process was paused. All times are
-// boot times, which include the time during which the machine was suspended.
+// maxBacklogTime bounds the time for reading what waited in the socket during a pause. The socket's
+// buffer holds some hundred packets, which take a few milliseconds.
+const maxBacklogTime = 250 * time.Millisecond
+
+// backlog tells which packets may have waited in the socket while the process was paused, so that the routers
+// may have sent their copies to another instance. All times are boot times, which include the time during
+// which the machine was suspended.
 type backlog struct {
 	lastRun   atomic.Int64
 	resumedAt atomic.Int64 // end of the last pause; 0 without one
@@ -28,7 +26,7 @@
 // noteRunning records that the process runs at a time. One of the timers and the reader of the socket,
 // whichever runs first, notices a pause.
 func (b *backlog) noteRunning(now time.Duration) {
-	if last := b.lastRun.Swap(int64(now)); last != 0 && int64(now)-last >= int64(minNoticedPause) {
+	if last := b.lastRun.Swap(int64(now)); last != 0 && int64(now)-last >= int64(forwarding.MinRouterDetection) {
 		b.resumedAt.Store(int64(now))
 	}
 }
--- a/internal/forwarder/backlog_test.go
+++ b/internal/forwarder/backlog_test.go
@@ -25,9 +25,9 @@
 		late   bool
 	}{
 		{name: "no pause", pause: tick},
-		{name: "short pause", pause: minNoticedPause - time.Millisecond},
-		{name: "read before the first tick", pause: minNoticedPause, late: true},
-		{name: "read after the first tick", pause: minNoticedPause, after: tick, ticked: true, late: true},
+		{name: "short pause", pause: forwarding.MinRouterDetection - time.Millisecond},
+		{name: "read before the first tick", pause: forwarding.MinRouterDetection, late: true},
+		{name: "read after the first tick", pause: forwarding.MinRouterDetection, after: tick, ticked: true, late: true},
 		{name: "socket has been empty", pause: 4 * time.Second, after: tick, ticked: true, empty: true},
 		{name: "socket never empty", pause: 4 * time.Second, after: maxBacklogTime, ticked: true},
 	} {
@@ -72,7 +72,7 @@
 	d.servers["i-1"].OnOpen(func(netip.Addr, netip.AddrPort) { sent.Add(1) })
 
 	a.mu.Lock() // neither the timers nor the reader of the socket get on
-	_, err := d.client.Open(service, a.datagramAddress(), minNoticedPause+200*time.Millisecond)
+	_, err := d.client.Open(service, a.datagramAddress(), forwarding.MinRouterDetection+200*time.Millisecond)
 	a.mu.Unlock()
 	if !errors.Is(err, flows.ErrTimeout) {
 		t.Fatalf("open: %v", err)
